--- /dev/null
+++ b/src/nettledeal/decide.py
@@ -0,0 +1,764 @@
+"""Every decision of nettledeal.
+
+One `Balancer` serves one agent. Its host calls `start` once, then `take`, `returned`, `roster`,
+`roster_failed`, `withdrawn`, `probed`, `streaming` and `wake` as things happen, each with the time
+now. Each call gives a `Step`: acts to carry out at once, in order, and the time of the next `wake`.
+The types are in `model.py`; times are whole tenths of a millisecond. No clock, no I/O, no globals:
+the same calls give the same steps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from math import exp, log
+from random import Random
+
+from nettledeal.model import (
+    Act,
+    Answer,
+    BackendId,
+    Effect,
+    Enquiry,
+    Group,
+    HandOff,
+    Life,
+    Listing,
+    Outcome,
+    Probe,
+    Recall,
+    Report,
+    Step,
+    Time,
+    Verdict,
+    WorkItemId,
+)
+
+SECOND = 10_000
+# The design's smoothing: how much of the remembered queue survives a new reading or a silent second.
+HISTORY = 0.7
+# The design's threshold before anything has been learned: the paper's warm containers.
+FIRST_THRESHOLD = 10.0
+
+
+class Ring:
+    """Sums over the last `span`, in buckets of time that are used again."""
+
+    def __init__(self, span: Time, width: int, buckets: int = 10):
+        self.step = max(1, -(-span // buckets))
+        self.rows = [[0.0] * width for _ in range(buckets + 1)]
+        self.stamps = [-1] * (buckets + 1)
+
+    def add(self, now: Time, column: int, amount: float) -> None:
+        stamp = now // self.step
+        slot = stamp % len(self.rows)
+        if self.stamps[slot] != stamp:
+            self.stamps[slot] = stamp
+            self.rows[slot] = [0.0] * len(self.rows[slot])
+        self.rows[slot][column] += amount
+
+    def total(self, now: Time, column: int) -> float:
+        oldest = now // self.step - len(self.rows) + 1
+        return sum(
+            row[column] for row, stamp in zip(self.rows, self.stamps, strict=True) if stamp >= oldest
+        )
+
+
+@dataclass(slots=True)
+class Category:
+    due: Time
+    expiry: Time
+    payoff: float
+    late_payoff: float
+    stretch: float
+    effect: Effect
+    group: Group
+    window: Time
+    base: float = 0.0  # learned: time an answer takes with nothing ahead of it
+    seen: int = 0
+    work: float = 0.0  # learned: mean hint
+
+
+@dataclass(slots=True)
+class Sent:
+    """A hand-off as the ledger remembers it."""
+
+    number: int
+    backend: Backend
+    at: Time
+    due_back: Time
+    ahead: float
+    offload: bool
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class WorkItem:
+    id: WorkItemId
+    category: Category
+    taken: Time
+    due: Time
+    expiry: Time
+    customer: int
+    work: float | None
+    again: bool
+    sent: list[Sent] = field(default_factory=list)
+    open: int = 0
+    must_home: bool = False
+    streaming: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    id: BackendId
+    listing: Listing
+    known: bool
+    others: float = 0.0  # work items of other agents at the last reading
+    smoothed: float = 0.0
+    read_at: Time | None = None
+    own_since: int = 0
+    own: dict[tuple[WorkItemId, int], Sent] = field(default_factory=dict)
+    pinned: float | None = None
+    pace: float = 0.0  # log of the learned slowness
+    paced_at: Time = 0
+    distrust: float = 0.0
+    distrust_at: Time = 0
+    tally: Ring = field(default_factory=lambda: Ring(4 * SECOND, 2, 8))
+    budget: Ring | None = None
+
+
+@dataclass(slots=True)
+class Passage:
+    """A work item on its way out through the stages."""
+
+    wi: WorkItem
+    now: Time
+    choices: list[Backend]
+    extra: bool = False
+    verdict: bool = False  # a stage has given it up
+    offload: bool = False
+    pick: Backend | None = None
+
+
+@dataclass(slots=True)
+class Return:
+    """An outcome on its way back."""
+
+    wi: WorkItem | None
+    ho: Sent
+    outcome: Outcome
+    took: Time
+    report: Report
+    now: Time
+
+
+class Facts:
+    """What the stages share: the settings, the chance, the categories and the backends heard of."""
+
+    def __init__(self, seed: int, settings: Mapping):
+        self.settings = settings
+        self.chance = Random(seed)
+        self.backends: dict[BackendId, Backend] = {}
+        self.agents = max(1, int(self.get("balancers", 1)))
+        self.home = self.get("zone", 0)
+        self.may_copy = bool(self.get("allowed.may_duplicate", False))
+        self.may_recall = bool(self.get("allowed.cancelling", False))
+        self.categories = [self._category(f"categories.{n}.") for n in range(self.get("categories.count", 0))]
+        # A category out of range has unknown rights: it gets the strictest ones.
+        self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
+
+    def get(self, name: str, default):
+        return self.settings.get(name, default)
+
+    def _category(self, prefix: str) -> Category:
+        return Category(
+            due=self.get(prefix + "due_time", 0),
+            expiry=self.get(prefix + "expiry", 0),
+            payoff=float(self.get(prefix + "payoff", 1.0)),
+            late_payoff=float(self.get(prefix + "overdue_payoff", 0.0)),
+            stretch=float(self.get(prefix + "aim_stretch", 0.0)),
+            effect=Effect(self.get(prefix + "effect", "exclusive")),
+            group=Group(self.get(prefix + "group", "all")),
+            window=self.get(prefix + "window", 0),
+        )
+
+    def category(self, index: int) -> Category:
+        return self.categories[index] if 0 <= index < len(self.categories) else self.unknown
+
+    def expected(self, category: Category, work: float | None) -> float:
+        """How long this work item takes where nothing is ahead of it."""
+        base = category.base
+        if not base:
+            known = [other.base for other in self.categories if other.base]
+            base = sum(known) / len(known) if known else 0.15 * (category.due or SECOND)
+        if work and category.work:
+            # Waiting on others is part of an answer, so time grows more slowly than the work.
+            base *= min(4.0, max(0.5, 0.5 + 0.5 * work / category.work))
+        return base
+
+
+class Ledger:
+    """Open work items, their one answer and their expiry."""
+
+    def __init__(self, facts: Facts):
+        self.facts = facts
+        self.open: dict[WorkItemId, WorkItem] = {}
+        self.most = facts.get("allowed.most_hand_offs", 1) or 1
+
+    def take(self, wi: WorkItem) -> None:
+        self.open[wi.id] = wi
+
+    def out(self, p: Passage) -> bool:
+        return p.now < p.wi.expiry and len(p.wi.sent) < self.most
+
+    def answer(self, wi: WorkItem, come_back: Time) -> Answer:
+        del self.open[wi.id]
+        if self.may_defer(wi):
+            return Answer(wi.id, Verdict.DEFERRED, come_back)
+        return Answer(wi.id, Verdict.WRITTEN_OFF)
+
+    @staticmethod
+    def may_defer(wi: WorkItem) -> bool:
+        """A deferral says that retrying is harmless: so it must be, whatever has run by now."""
+        if wi.category.effect is Effect.RERUNNABLE:
+            return True
+        if wi.category.effect is Effect.TICKETED and wi.category.group is Group.ALL:
+            return True
+        return all(ho.outcome is not None and ho.outcome.ran_not for ho in wi.sent)
+
+
+class Admission:
+    """Turns away at once what cannot earn its payoff, and least payoff for its work first."""
+
+    def __init__(self, facts: Facts, memory: Memory):
+        self.facts = facts
+        self.memory = memory
+        self.by_work = facts.get("payoff_by", "request") == "work"
+        self.longest_wait = facts.get("allowed.max_retry_after", 0) if facts.get("allowed.retry_after", False) else 0
+        self.surplus = float(facts.get("surplus_payoff", 1.0))
+        count = facts.get("projects.count", 0)
+        self.shares = [float(facts.get(f"projects.{n}.share", 0.0)) for n in range(count)]
+        self.usage = Ring(5 * SECOND, max(1, count), 10)
+        self.outlook = 0.0
+
+    def taken(self, wi: WorkItem, now: Time) -> None:
+        if self.shares and 0 <= wi.customer < len(self.shares):
+            self.usage.add(now, wi.customer, self.facts.expected(wi.category, wi.work))
+
+    def _density(self, wi: WorkItem) -> float:
+        category = wi.category
+        return category.payoff if self.by_work else category.payoff / max(1.0, self.facts.expected(category, None))
+
+    def _rank(self, wi: WorkItem, now: Time) -> float:
+        """Payoff for the work it costs, against the best category's: 0 to 1."""
+        best = max((
+            c.payoff if self.by_work else c.payoff / max(1.0, self.facts.expected(c, None))
+            for c in self.facts.categories
+        ), default=1.0)
+        rank = self._density(wi) / best if best > 0 else 1.0
+        if wi.again:
+            rank *= 0.7  # part of its due time has gone, and a storm of retries feeds on being served
+        if self.shares and 0 <= wi.customer < len(self.shares):
+            total = sum(self.usage.total(now, n) for n in range(len(self.shares)))
+            if self.usage.total(now, wi.customer) > 1.25 * self.shares[wi.customer] * total:
+                rank *= max(self.surplus, 0.05)
+        return rank
+
+    def out(self, p: Passage) -> bool:
+        wi = p.wi
+        if not p.choices:
+            return True
+        views = [self.memory.view(b, p.now) for b in p.choices]
+        self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
+        if wi.category.late_payoff > 0:
+            return True
+        left = wi.due - p.now
+        if left <= 0:
+            return False
+        # What is nearly sure to come late only takes time from what could still be on time.
+        mean = self.outlook / max(1, wi.due - wi.taken)
+        return left > 0.5 * self.outlook and mean < 0.5 + 0.9 * self._rank(wi, p.now)
+
+    def come_back(self, wi: WorkItem, now: Time) -> Time:
+        if not self.longest_wait:
+            return 0
+        if wi.due <= now:
+            return self.longest_wait
+        return int(min(self.longest_wait, max(self.outlook, 500)))
+
+
+class Repeats:
+    """What the effect of a work item still allows once it may have run."""
+
+    def __init__(self, facts: Facts):
+        self.facts = facts
+
+    def out(self, p: Passage) -> bool:
+        p.choices = [b for b in p.choices if self.allows(p.wi, b, p.now)]
+        return bool(p.choices)
+
+    def allows(self, wi: WorkItem, backend: Backend, now: Time) -> bool:
+        if wi.open and not self.facts.may_copy:
+            return False
+        effect = wi.category.effect
+        if effect is Effect.RERUNNABLE:
+            return True
+        maybe = [ho for ho in wi.sent if ho.outcome is None or not ho.outcome.ran_not]
+        if not maybe:
+            return True
+        if effect is Effect.EXCLUSIVE or now >= maybe[0].at + wi.category.window:
+            return False
+        group = wi.category.group
+        there = backend.listing
+        for ho in maybe:
+            ran = ho.backend.listing
+            if group is Group.ZONE and ran.zone != there.zone:
+                return False
+            if group is Group.CELL and (ran.cell != there.cell or ran.zone != there.zone):
+                return False
+        return True
+
+
+class Soundness:
+    """Drains, cold budgets and distrust."""
+
+    def __init__(self, facts: Facts):
+        self.facts = facts
+        self.factor = float(facts.get("rules.overload_factor", 1.0))
+        self.span = max(1, facts.get("rules.tip_after", SECOND))
+        self.cold_from = float(facts.get("rules.cold_from", 0.1))
+        self.warm_within = max(1, facts.get("rules.warm_within", 30 * SECOND))
+        self.median = 0.0
+        self.median_at = -SECOND
+
+    def capacity(self, backend: Backend, now: Time) -> float:
+        started = backend.listing.started
+        if not started or now - started >= self.warm_within:
+            return 1.0
+        age = max(0, now - started) / self.warm_within
+        return self.cold_from + (1 - self.cold_from) * age
+
+    def allows(self, wi: WorkItem, backend: Backend, now: Time) -> bool:
+        if backend.listing.life is not Life.RUNNING:
+            return False
+        if not backend.known and len(backend.own) >= 2:
+            return False  # named by a stale list only: it may be gone, or cold
+        if self.capacity(backend, now) >= 1.0:
+            return True
+        # Half the push that topples it, shared with agents that cannot be seen; never in one burst.
+        limit = 0.5 * self.factor * self.span / self.facts.agents
+        limit *= self.capacity(backend, now - self.span // 2)
+        spent = backend.budget.total(now, 0) if backend.budget else 0.0
+        cost = self.facts.expected(wi.category, wi.work)
+        return (spent + cost <= limit or not spent) and len(backend.own) < 3
+
+    def out(self, p: Passage) -> bool:
+        p.choices = [b for b in p.choices if self.allows(p.wi, b, p.now)]
+        return bool(p.choices)
+
+    def sent(self, p: Passage) -> None:
+        backend = p.pick
+        if self.capacity(backend, p.now) < 1.0:
+            if backend.budget is None:
+                backend.budget = Ring(self.span, 1)
+            backend.budget.add(p.now, 0, self.facts.expected(p.wi.category, p.wi.work))
+
+    def _median(self, now: Time) -> float:
+        if now - self.median_at >= SECOND // 4:
+            self.median_at = now
+            shares = sorted(
+                self._share(b, now) for b in self.facts.backends.values() if b.listing.life is Life.RUNNING
+            )
+            self.median = shares[len(shares) // 2] if shares else 0.0
+        return self.median
+
+    @staticmethod
+    def _share(backend: Backend, now: Time) -> float:
+        return backend.tally.total(now, 1) / (backend.tally.total(now, 0) + 0.5)
+
+    @staticmethod
+    def distrust(backend: Backend, now: Time) -> float:
+        """Fades by half every 1.5 s, so that one trial soon finds a backend that has recovered."""
+        return backend.distrust * 0.5 ** ((now - backend.distrust_at) / (1.5 * SECOND))
+
+    def back(self, r: Return) -> None:
+        backend = r.ho.backend
+        if r.outcome in (Outcome.FULL, Outcome.UNSENT, Outcome.RECALLED):
+            return
+        failed = r.outcome is not Outcome.FINISHED
+        backend.tally.add(r.now, 0, 1.0)
+        if failed:
+            backend.tally.add(r.now, 1, 1.0)
+        level = self.distrust(backend, r.now)
+        if failed:
+            # Against the fleet's median: when most of it fails, nobody is exiled.
+            level = max(level, min(0.95, self._share(backend, r.now) + 0.25 - self._median(r.now)))
+        else:
+            level *= 0.5
+        backend.distrust, backend.distrust_at = max(0.0, level), r.now
+
+
+class Memory:
+    """Remembered queues, learned speeds, and the random choice that goes by them."""
+
+    def __init__(self, facts: Facts, soundness: Soundness):
+        self.facts = facts
+        self.soundness = soundness
+
+    def queue(self, b: Backend, now: Time) -> float:
+        """Work items at the backend: the last reading, own sends since, fading into the smoothed one."""
+        if b.pinned is not None:
+            return b.pinned + b.own_since
+        others = b.smoothed
+        if b.read_at is not None:
+            fresh = exp(-(now - b.read_at) / (SECOND / 4))
+            others = fresh * b.others + (1 - fresh) * b.smoothed
+        return len(b.own) + others
+
+    def pace(self, b: Backend, now: Time) -> float:
+        """Learned slowness; silence counts: what is overdue shows at least so slow a backend."""
+        fade = exp(-(now - b.paced_at) / (8 * SECOND))
+        pace = exp(b.pace * fade)
+        if b.own:
+            oldest = next(iter(b.own.values()))
+            late = (now - oldest.at) / max(1.0, oldest.due_back - oldest.at)
+            if late > 1.5:
+                pace *= late / 1.5
+        return pace / self.soundness.capacity(b, now)
+
+    def view(self, b: Backend, now: Time) -> float:
+        """The time an answer from there is expected to take, in times of one with nothing ahead."""
+        trust = 1.0 - self.soundness.distrust(b, now)
+        return (1.0 + self.queue(b, now)) * self.pace(b, now) / max(0.05, trust)
+
+    def out(self, p: Passage) -> bool:
+        choices = p.choices
+        if len(choices) > 1:
+            used = [ho.backend for ho in p.wi.sent]
+            fresh = [b for b in choices if b not in used]
+            choices = fresh or choices
+        weights = [self.view(b, p.now) ** -6.0 for b in choices]
+        p.pick = self.facts.chance.choices(choices, weights)[0]
+        return True
+
+    def sent(self, p: Passage, ho: Sent) -> None:
+        p.pick.own[(p.wi.id, ho.number)] = ho
+        p.pick.own_since += 1
+
+    def read(self, b: Backend, report: Report, now: Time, implied: float | None) -> None:
+        reading = report.get("outstanding")
+        if reading is None:
+            # A count of what waits reads 0 at a busy backend, so the answer's own time has a say.
+            reading = max(report.get("backlog", 0.0) + len(b.own), implied or 0.0)
+            if not report and implied is None:
+                return
+        others = max(0.0, reading - len(b.own))
+        if b.read_at is None:
+            b.smoothed = others
+        else:
+            keep = HISTORY ** max(1.0, (now - b.read_at) / SECOND)
+            b.smoothed = keep * b.smoothed + (1 - keep) * others
+        b.others, b.read_at, b.own_since, b.pinned = others, now, 0, None
+
+    def back(self, r: Return, threshold: float) -> None:
+        b = r.ho.backend
+        if r.outcome is Outcome.FULL:
+            b.pinned, b.own_since = max(threshold, self.queue(b, r.now)), 0
+            return
+        if r.outcome in (Outcome.UNREACHABLE, Outcome.UNSENT, Outcome.RECALLED):
+            return
+        implied = None
+        if r.wi is not None:
+            category = r.wi.category
+            expected = self.facts.expected(category, r.wi.work)
+            ratio = max(1, r.took) / (expected * (1.0 + r.ho.ahead))
+            if r.outcome is Outcome.FINISHED:
+                implied = r.took / expected - 1.0
+                self._learn(category, r.wi.work, r.took / (1.0 + r.ho.ahead))
+            if r.outcome is Outcome.FINISHED or ratio > 1.0:
+                fade = exp(-(r.now - b.paced_at) / (8 * SECOND))
+                sample = log(min(8.0, max(0.25, ratio)))
+                b.pace = 0.85 * b.pace * fade + 0.15 * sample
+                b.paced_at = r.now
+        self.read(b, r.report, r.now, implied)
+
+    @staticmethod
+    def _learn(category: Category, work: float | None, alone: float) -> None:
+        category.seen += 1
+        gain = max(0.02, 1.0 / category.seen)
+        category.base = category.base + gain * (alone - category.base)
+        if work:
+            category.work = category.work + gain * (work - category.work)
+
+
+class Zoning:
+    """The home test: home while the mean of the home backends' queues is under the threshold."""
+
+    def __init__(self, facts: Facts, memory: Memory):
+        self.facts = facts
+        self.memory = memory
+        self.threshold = FIRST_THRESHOLD
+        # Where late answers cost as much as crossings, the threshold stands still.
+        self.price = min(0.5, max(0.01, float(facts.get("tariffs.cross_zone", 0.0))))
+
+    def out(self, p: Passage) -> bool:
+        home = [b for b in p.choices if b.listing.zone == self.facts.home]
+        away = [b for b in p.choices if b.listing.zone != self.facts.home]
+        if p.wi.must_home and home:
+            away = []
+        if home and away:
+            mean = self._mean(home, p.now)
+            # An offload to peers no better off would only be declined, or wait longer there.
+            if mean < self.threshold or self._mean(away, p.now) >= mean:
+                away = []
+            else:
+                home = []
+        p.offload = not home
+        p.choices = home or away
+        return bool(p.choices)
+
+    def _mean(self, backends: list[Backend], now: Time) -> float:
+        return sum(self.memory.view(b, now) - 1.0 for b in backends) / len(backends)
+
+    def back(self, r: Return) -> None:
+        if r.wi is None or r.ho.offload or r.ho.backend.listing.zone != self.facts.home:
+            return
+        late = r.outcome is Outcome.FULL or (
+            r.outcome in (Outcome.FINISHED, Outcome.OVERDUE) and r.now > r.wi.due
+        )
+        if late:
+            self.threshold = max(0.5, self.threshold * 0.9)
+        elif r.outcome is Outcome.FINISHED:
+            self.threshold = min(FIRST_THRESHOLD, self.threshold * 0.9 ** -(self.price / (1 - self.price)))
+
+
+class Roster:
+    """Asks for the list of backends where it must be asked for, and notices when the answers stop."""
+
+    def __init__(self, facts: Facts, now: Time):
+        self.facts = facts
+        self.within = facts.get("rules.ask_within", 10 * SECOND)
+        self.asks = facts.get("discovery", "pushed") == "on_request"
+        self.backoff = max(1, self.within // 16)
+        self.next: Time | None = None
+        if self.asks:
+            # Agents that start together would otherwise all call in the same instant.
+            self.next = now + int(facts.chance.random() * self.within / 8)
+
+    def wake(self, now: Time) -> list[Act]:
+        if self.next is None or now < self.next:
+            return []
+        # Asked again if neither news nor a failure comes: an answer can get lost too.
+        self.next = now + self.within // 2
+        return [Enquiry()]
+
+    def heard(self) -> None:
+        self.next = None
+        self.backoff = max(1, self.within // 16)
+
+    def failed(self, now: Time) -> None:
+        self.next = now + int(self.backoff * (1 + self.facts.chance.random()))
+        self.backoff = min(2 * self.backoff, max(1, self.within // 4))
+
+    def apply(self, listings: Iterable[Listing], now: Time, whole: bool, cached: bool) -> None:
+        backends = self.facts.backends
+        named = {}
+        for entry in listings:
+            named[entry.backend] = entry
+            known = backends.get(entry.backend)
+            if known is None or known.listing.started != entry.started or known.listing.life is Life.GONE:
+                fresh = Backend(entry.backend, entry, known=not cached, paced_at=now, distrust_at=now)
+                if known is not None:
+                    fresh.own = known.own
+                    fresh.budget = known.budget
+                backends[entry.backend] = fresh
+            else:
+                known.listing = entry
+                known.known = known.known or not cached
+        if whole:
+            for id, backend in backends.items():
+                if id not in named:
+                    listing = backend.listing
+                    backend.listing = Listing(
+                        id, Life.GONE, listing.zone, listing.kind, listing.cell, listing.size, listing.started
+                    )
+
+
+class Balancer:
+    def __init__(self, seed: int, settings: Mapping, now: Time):
+        self.facts = Facts(seed, settings)
+        self.soundness = Soundness(self.facts)
+        self.memory = Memory(self.facts, self.soundness)
+        self.ledger = Ledger(self.facts)
+        self.admission = Admission(self.facts, self.memory)
+        self.repeats = Repeats(self.facts)
+        self.zoning = Zoning(self.facts, self.memory)
+        self.roster_keeper = Roster(self.facts, now)
+        self.stages = (self.ledger, self.admission, self.repeats, self.soundness, self.zoning, self.memory)
+        self.alarms: list[tuple[Time, int, WorkItemId, int]] = []
+        self.alarm_count = 0
+        self.copies = 3.0
+        self.resolution = max(1, self.facts.get("resolution", 10))
+        self.acts: list[Act] = []
+
+    # The calls of the host.
+
+    def start(self, now: Time) -> Step:
+        return self._step(now)
+
+    def take(
+        self,
+        now: Time,
+        id: WorkItemId,
+        category: int,
+        expiry: Time,
+        *,
+        customer: int = 0,
+        key: str | None = None,
+        work: float | None = None,
+        again: bool = False,
+    ) -> Step:
+        kind = self.facts.category(category)
+        due = expiry if not kind.due else min(expiry, now + kind.due + int(kind.stretch * (work or 0)))
+        wi = WorkItem(id, kind, now, due, expiry, customer, work, again)
+        self.ledger.take(wi)
+        self.admission.taken(wi, now)
+        self.copies = min(10.0, self.copies + 0.1)
+        self._route(wi, now)
+        return self._step(now)
+
+    def returned(
+        self,
+        now: Time,
+        id: WorkItemId,
+        number: int,
+        outcome: Outcome,
+        took: Time,
+        *,
+        closed: bool,
+        report: Report,
+    ) -> Step:
+        ho = self._forget(id, number)
+        if ho is None:
+            return self._step(now)
+        ho.outcome = outcome
+        wi = self.ledger.open.get(id)
+        r = Return(wi, ho, outcome, took, report, now)
+        self.memory.back(r, self.zoning.threshold)
+        self.zoning.back(r)
+        self.soundness.back(r)
+        if outcome is Outcome.FINISHED:
+            ho.backend.known = True
+        if wi is None:
+            return self._step(now)
+        wi.open -= 1
+        if closed or outcome is Outcome.FINISHED:
+            self._close(wi)
+        elif not wi.open:
+            wi.must_home = wi.must_home or ho.offload
+            self._route(wi, now)
+        return self._step(now)
+
+    def roster(self, now: Time, listings: Iterable[Listing], *, whole: bool, cached: bool) -> Step:
+        self.roster_keeper.apply(listings, now, whole, cached)
+        if not cached:
+            self.roster_keeper.heard()
+        return self._step(now)
+
+    def roster_failed(self, now: Time) -> Step:
+        self.roster_keeper.failed(now)
+        return self._step(now)
+
+    def withdrawn(self, now: Time, id: WorkItemId) -> Step:
+        wi = self.ledger.open.get(id)
+        if wi is not None:
+            self._close(wi)
+        return self._step(now)
+
+    def probed(self, now: Time, id: BackendId, outcome: Outcome, took: Time, report: Report) -> Step:
+        backend = self.facts.backends.get(id)
+        if backend is not None and outcome is Outcome.FINISHED and report:
+            self.memory.read(backend, report, now, None)
+        return self._step(now)
+
+    def streaming(self, now: Time, id: WorkItemId, number: int) -> Step:
+        wi = self.ledger.open.get(id)
+        if wi is not None:
+            wi.streaming = True
+        return self._step(now)
+
+    def wake(self, now: Time) -> Step:
+        while self.alarms and self.alarms[0][0] <= now:
+            _, _, id, number = heappop(self.alarms)
+            wi = self.ledger.open.get(id)
+            if wi is None or wi.streaming or wi.sent[number].outcome is not None:
+                continue
+            if self.copies >= 1.0 and len(wi.sent) == number + 1:
+                self._route(wi, now, extra=True)
+        return self._step(now)
+
+    # Out through the stages.
+
+    def _route(self, wi: WorkItem, now: Time, extra: bool = False) -> None:
+        p = Passage(wi, now, [b for b in self.facts.backends.values() if b.listing.life is Life.RUNNING], extra)
+        if extra:
+            p.choices = [b for b in p.choices if all(ho.backend is not b for ho in wi.sent)]
+        if all(stage.out(p) for stage in self.stages) and self._legal(p):
+            self._hand_off(p)
+        elif not wi.open:
+            # Given up on: it gets its answer now, not near its expiry.
+            self.acts.append(self.ledger.answer(wi, self.admission.come_back(wi, now)))
+
+    def _legal(self, p: Passage) -> bool:
+        """The last look before a hand-off, whatever the stages made of it."""
+        return (
+            p.wi.id in self.ledger.open
+            and not p.wi.streaming
+            and self.ledger.out(p)
+            and self.repeats.allows(p.wi, p.pick, p.now)
+            and self.soundness.allows(p.wi, p.pick, p.now)
+        )
+
+    def _hand_off(self, p: Passage) -> None:
+        wi, now, backend = p.wi, p.now, p.pick
+        expected = self.facts.expected(wi.category, wi.work)
+        ahead = self.memory.queue(backend, now)
+        due_back = now + int((1 + ahead) * expected * self.memory.pace(backend, now)) + 1
+        ho = Sent(len(wi.sent), backend, now, due_back, ahead, p.offload)
+        wi.sent.append(ho)
+        wi.open += 1
+        self.memory.sent(p, ho)
+        self.soundness.sent(p)
+        if p.extra:
+            self.copies -= 1.0
+        # The answer must reach the client before its expiry, so the last time-out comes a little sooner.
+        time_out = max(1, wi.expiry - now - 2 * self.resolution)
+        patience = int(max(2.5 * (due_back - now), 2 * expected))
+        again = wi.category.effect is not Effect.EXCLUSIVE and wi.due - now - patience > expected
+        if again and not p.extra:
+            if self.facts.may_copy:
+                self.alarm_count += 1
+                heappush(self.alarms, (now + patience, self.alarm_count, wi.id, ho.number))
+            elif patience < time_out and len(wi.sent) < 2:
+                time_out = patience
+        self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
+
+    def _close(self, wi: WorkItem) -> None:
+        """The client has its answer; what still runs for it is recalled where that is allowed."""
+        del self.ledger.open[wi.id]
+        if self.facts.may_recall and not wi.streaming:
+            self.acts += [Recall(wi.id, ho.number) for ho in wi.sent if ho.outcome is None]
+
+    def _forget(self, id: WorkItemId, number: int) -> Sent | None:
+        for backend in self.facts.backends.values():
+            ho = backend.own.pop((id, number), None)
+            if ho is not None:
+                return ho
+        return None
+
+    def _step(self, now: Time) -> Step:
+        self.acts += self.roster_keeper.wake(now)
+        acts, self.acts = self.acts, []
+        times = [t for t in (self.roster_keeper.next, self.alarms[0][0] if self.alarms else None) if t is not None]
+        return Step(acts, min(times) if times else None)
