--- a/src/nettledeal/sim/codec.py
+++ b/src/nettledeal/sim/codec.py
@@ -74,8 +74,10 @@
         return name, {}
     fields: dict = {}
     if name == "up":
-        rest, _, facts = rest.partition(" facts=")
-        fields["facts"] = facts
+        # The settings follow the two named fields without a name of their own.
+        parts = rest.split(" ")
+        fields["facts"] = " ".join(part for part in parts if not part.startswith(("i=", "prng=")))
+        rest = " ".join(part for part in parts if part.startswith(("i=", "prng=")))
     for part in rest.split():
         key, equals, value = part.partition("=")
         if not equals:
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,107 @@
+import pytest
+from helpers import DEFERRED, SECOND, WRITTEN_OFF, Drive, answers, fleet, hand_offs
+
+from nettledeal.model import Life, Listing, Outcome
+
+RERUN, EXCLUSIVE, ZONE_TICKET, TICKET = range(4)
+
+
+@pytest.mark.parametrize(
+    ("category", "outcome", "again", "verdict"),
+    [
+        (RERUN, Outcome.ERROR, True, DEFERRED),
+        (RERUN, Outcome.OVERDUE, True, DEFERRED),
+        (RERUN, Outcome.FULL, True, DEFERRED),
+        (EXCLUSIVE, Outcome.ERROR, False, WRITTEN_OFF),
+        (EXCLUSIVE, Outcome.OVERDUE, False, WRITTEN_OFF),
+        (EXCLUSIVE, Outcome.RESET, False, WRITTEN_OFF),
+        (EXCLUSIVE, Outcome.RECALLED, False, WRITTEN_OFF),
+        (EXCLUSIVE, Outcome.FULL, True, DEFERRED),
+        (EXCLUSIVE, Outcome.UNREACHABLE, True, DEFERRED),
+        (EXCLUSIVE, Outcome.UNSENT, True, DEFERRED),
+        (ZONE_TICKET, Outcome.ERROR, True, WRITTEN_OFF),
+        (ZONE_TICKET, Outcome.UNREACHABLE, True, DEFERRED),
+        (TICKET, Outcome.RESET, True, DEFERRED),
+    ],
+)
+def test_effect_by_outcome(category, outcome, again, verdict):
+    drive = Drive()
+    (first,) = hand_offs(drive.take(category))
+    acts = drive.back(first, outcome, after=20)
+    assert bool(hand_offs(acts)) == again
+    if not again:
+        assert [a.verdict for a in answers(acts)] == [verdict]
+        return
+    # Past its due time nothing can be earned: it is answered at once, with what the effect allows.
+    (second,) = hand_offs(acts)
+    acts = drive.back(second, outcome, after=11_000)
+    assert not hand_offs(acts)
+    assert [a.verdict for a in answers(acts)] == [verdict]
+
+
+def test_ticket_stays_in_its_group_and_window():
+    drive = Drive(fleet((0, 1)))
+    (first,) = hand_offs(drive.take(ZONE_TICKET))
+    (second,) = hand_offs(drive.back(first, Outcome.ERROR, after=20))
+    assert second.backend == first.backend  # the only one in its zone
+    assert answers(drive.back(second, Outcome.ERROR, after=5000))[0].verdict is WRITTEN_OFF
+
+
+@pytest.mark.parametrize("life", [Life.DRAINING, Life.GONE])
+def test_nothing_to_a_backend_told_to_drain(life):
+    drive = Drive(fleet((0, 0)))
+    drive.balancer.roster(drive.now, [Listing("b0", life=life)], whole=False, cached=False)
+    for _ in range(20):
+        (ho,) = hand_offs(drive.take())
+        assert ho.backend == "b1"
+        drive.back(ho)
+
+
+@pytest.mark.parametrize("listings", [[], fleet((0, 0), life=Life.GONE), fleet((0,), life=Life.DRAINING)])
+def test_no_backend_defers_at_once(listings):
+    (answer,) = Drive(listings).take(EXCLUSIVE)
+    assert answer.verdict is DEFERRED
+    assert answer.come_back > 0
+
+
+@pytest.mark.parametrize(("category", "expiry"), [(RERUN, 0), (RERUN, -5000), (EXCLUSIVE, 0)])
+def test_expired_on_arrival_is_answered_and_not_sent(category, expiry):
+    acts = Drive().take(category, expiry)
+    assert answers(acts)
+    assert not hand_offs(acts)
+
+
+def test_category_out_of_range_is_exclusive():
+    drive = Drive()
+    (ho,) = hand_offs(drive.take(99))
+    assert [a.verdict for a in answers(drive.back(ho, Outcome.ERROR, after=20))] == [WRITTEN_OFF]
+
+
+def test_cold_budget_holds_against_a_burst():
+    now = 100_000
+    drive = Drive([Listing("b0", started=now)], now=now)
+    sent = sum(bool(hand_offs(drive.take())) for _ in range(50))
+    assert 1 <= sent <= 3
+
+
+def test_one_hand_off_at_a_time_where_copies_are_not_allowed():
+    drive = Drive()
+    (ho,) = hand_offs(drive.take())
+    for _ in range(40):
+        drive.now += 200
+        assert not hand_offs(drive.balancer.wake(drive.now).acts)
+    assert drive.back(ho, after=1) == []
+
+
+def test_unknown_hand_offs_and_work_items_are_ignored():
+    drive = Drive()
+    step = drive.balancer.returned(drive.now, 77, 0, Outcome.ERROR, 5, closed=False, report={})
+    assert step.acts == []
+    assert drive.balancer.withdrawn(drive.now, 77).acts == []
+
+
+def test_list_is_asked_for_again_after_a_failure():
+    drive = Drive(discovery="on_request", now=100_000)
+    step = drive.balancer.roster_failed(drive.now)
+    assert drive.now < step.wake < drive.now + 10 * SECOND
+    assert drive.balancer.wake(step.wake).acts
