--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -26,7 +26,6 @@
     Life,
     Listing,
     Outcome,
-    Probe,
     Recall,
     Report,
     Step,
@@ -39,7 +38,7 @@
 # The design's smoothing: how much of the remembered queue survives a new reading or a silent second.
 HISTORY = 0.7
 # The design's threshold before anything has been learned: the paper's warm containers.
-FIRST_THRESHOLD = 10.0
+FIRST_THRESHOLD = 2.0
 
 
 class Ring:
@@ -235,7 +234,9 @@
         self.facts = facts
         self.memory = memory
         self.by_work = facts.get("payoff_by", "request") == "work"
-        self.longest_wait = facts.get("allowed.max_retry_after", 0) if facts.get("allowed.retry_after", False) else 0
+        self.longest_wait = 0
+        if facts.get("allowed.retry_after", False):
+            self.longest_wait = facts.get("allowed.max_retry_after", 0)
         self.surplus = float(facts.get("surplus_payoff", 1.0))
         count = facts.get("projects.count", 0)
         self.shares = [float(facts.get(f"projects.{n}.share", 0.0)) for n in range(count)]
@@ -246,17 +247,14 @@
         if self.shares and 0 <= wi.customer < len(self.shares):
             self.usage.add(now, wi.customer, self.facts.expected(wi.category, wi.work))
 
-    def _density(self, wi: WorkItem) -> float:
-        category = wi.category
-        return category.payoff if self.by_work else category.payoff / max(1.0, self.facts.expected(category, None))
+    def _density(self, category: Category) -> float:
+        """Payoff for the work it costs."""
+        return category.payoff / (1.0 if self.by_work else max(1.0, self.facts.expected(category, None)))
 
     def _rank(self, wi: WorkItem, now: Time) -> float:
         """Payoff for the work it costs, against the best category's: 0 to 1."""
-        best = max((
-            c.payoff if self.by_work else c.payoff / max(1.0, self.facts.expected(c, None))
-            for c in self.facts.categories
-        ), default=1.0)
-        rank = self._density(wi) / best if best > 0 else 1.0
+        best = max(map(self._density, self.facts.categories), default=0.0)
+        rank = self._density(wi.category) / best if best > 0 else 1.0
         if wi.again:
             rank *= 0.7  # part of its due time has gone, and a storm of retries feeds on being served
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -701,7 +699,8 @@
     # Out through the stages.
 
     def _route(self, wi: WorkItem, now: Time, extra: bool = False) -> None:
-        p = Passage(wi, now, [b for b in self.facts.backends.values() if b.listing.life is Life.RUNNING], extra)
+        running = [b for b in self.facts.backends.values() if b.listing.life is Life.RUNNING]
+        p = Passage(wi, now, running, extra)
         if extra:
             p.choices = [b for b in p.choices if all(ho.backend is not b for ho in wi.sent)]
         if all(stage.out(p) for stage in self.stages) and self._legal(p):
@@ -760,5 +759,7 @@
     def _step(self, now: Time) -> Step:
         self.acts += self.roster_keeper.wake(now)
         acts, self.acts = self.acts, []
-        times = [t for t in (self.roster_keeper.next, self.alarms[0][0] if self.alarms else None) if t is not None]
-        return Step(acts, min(times) if times else None)
+        times = [self.alarms[0][0]] if self.alarms else []
+        if self.roster_keeper.next is not None:
+            times.append(self.roster_keeper.next)
+        return Step(acts, min(times, default=None))
--- a/src/nettledeal/sim/codec.py
+++ b/src/nettledeal/sim/codec.py
@@ -41,16 +41,17 @@
     "streaming": ("i", "txn", "go"),
 }
 NUMBERS = frozenset(
-    "sim_time table members i prng index txn billing band bits client_deadline effort token go took ended "
-    "came_up rack_zone shape stripe".split()
+    ("sim_time", "table", "members", "i", "prng", "index", "txn", "billing", "band", "bits",
+    "client_deadline", "effort", "token", "go", "took", "ended", "came_up", "rack_zone", "shape",
+    "stripe",)
 )
 
 # Durations among the settings, and which way each is rounded.
 ROUND_DOWN = frozenset(
-    "allowed.conn_idle allowed.max_retry_after rules.answer_slack rules.ask_within rules.drain_grace "
-    "allowed.connect_timeout".split()
+    ("allowed.conn_idle", "allowed.connect_timeout", "allowed.max_retry_after", "rules.answer_slack",
+     "rules.ask_within", "rules.drain_grace")
 )
-ROUND_UP = frozenset("resolution rules.tip_after rules.warm_within".split())
+ROUND_UP = frozenset(("resolution", "rules.tip_after", "rules.warm_within"))
 CATEGORY_TIMES = frozenset(("due_time", "expiry", "window"))
 
 
--- a/src/nettledeal/sim/host.py
+++ b/src/nettledeal/sim/host.py
@@ -115,7 +115,8 @@
     missing = 0
     reply: list[str] = []
     try:
-        for number, raw in enumerate(source, 1):
+        for raw in source:
+            number += 1
             line = raw.rstrip("\r\n")
             if not line:
                 continue
