--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -448,7 +448,7 @@
         reading = report.get("outstanding")
         if reading is None:
             # A count of what waits reads 0 at a busy backend, so the answer's own time has a say.
-            reading = max(report.get("backlog", 0.0) + len(b.own), implied or 0.0)
+            reading = report.get("backlog", 0.0) + len(b.own)
             if not report and implied is None:
                 return
         others = max(0.0, reading - len(b.own))
@@ -477,7 +477,7 @@
             if r.outcome is Outcome.FINISHED or ratio > 1.0:
                 fade = exp(-(r.now - b.paced_at) / (8 * SECOND))
                 sample = log(min(8.0, max(0.25, ratio)))
-                b.pace = 0.85 * b.pace * fade + 0.15 * sample
+                b.pace = 0.95 * b.pace * fade + 0.05 * sample
                 b.paced_at = r.now
         self.read(b, r.report, r.now, implied)
 
