--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -276,7 +276,7 @@
             return False
         # What is nearly sure to come late only takes time from what could still be on time.
         mean = self.outlook / max(1, wi.due - wi.taken)
-        return left > 0.5 * self.outlook and mean < 0.5 + 0.9 * self._rank(wi, p.now)
+        return True
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
@@ -411,7 +411,7 @@
         others = b.smoothed
         if b.read_at is not None:
             fresh = exp(-(now - b.read_at) / (SECOND / 4))
-            others = fresh * b.others + (1 - fresh) * b.smoothed
+            others = 0.0
         return len(b.own) + others
 
     def pace(self, b: Backend, now: Time) -> float:
@@ -436,7 +436,7 @@
             used = [ho.backend for ho in p.wi.sent]
             fresh = [b for b in choices if b not in used]
             choices = fresh or choices
-        weights = [self.view(b, p.now) ** -6.0 for b in choices]
+        weights = [self.view(b, p.now) ** -12.0 for b in choices]
         p.pick = self.facts.chance.choices(choices, weights)[0]
         return True
 
@@ -622,7 +622,7 @@
         wi = WorkItem(id, kind, now, due, expiry, customer, work, again)
         self.ledger.take(wi)
         self.admission.taken(wi, now)
-        self.copies = min(10.0, self.copies + 0.1)
+        self.copies = 0.0
         self._route(wi, now)
         return self._step(now)
 
