Limit own hand-offs out by learned slowdown; learn how far reports foretell waits

Cause: crowded backends choke and retries keep them so; a due-time test admits queues far past that point, late reports mislead the draw.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -39,6 +39,11 @@
 HISTORY = 0.7
 # The design's threshold before anything has been learned: the paper's warm containers.
 FIRST_THRESHOLD = 2.0
+# How strongly the draw favours short queues. Agents that cannot see each other crowd a backend that all
+# of them like a little; one that all like much fills in own hand-offs first, so a sharp draw is safe.
+SHARPNESS = 12.0
+# Work items at a backend beyond which more of them only wait: several times what keeps it busy.
+CROWD = 4.0
 
 
 class Ring:
@@ -88,6 +93,7 @@
     at: Time
     due_back: Time
     ahead: float
+    others: float
     offload: bool
     outcome: Outcome | None = None
 
@@ -166,6 +172,7 @@
         self.categories = [self._category(f"categories.{n}.") for n in range(self.get("categories.count", 0))]
         # A category out of range has unknown rights: it gets the strictest ones.
         self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
+        self.open = 0  # hand-offs out now
 
     def get(self, name: str, default):
         return self.settings.get(name, default)
@@ -242,6 +249,10 @@
         self.shares = [float(facts.get(f"projects.{n}.share", 0.0)) for n in range(count)]
         self.usage = Ring(5 * SECOND, max(1, count), 10)
         self.outlook = 0.0
+        # Own hand-offs out for each sound backend. Until answers say otherwise, an equal share of what
+        # crowds a backend: all agents may start at once, each seeing idle backends.
+        self.limit = CROWD / facts.agents
+        self.slowdown = 1.0
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -267,6 +278,9 @@
         wi = p.wi
         if not p.choices:
             return True
+        rank = self._rank(wi, p.now)
+        if self.facts.open > 1 and self.facts.open >= self.limit * len(p.choices) * (0.4 + 0.6 * rank):
+            return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
         if wi.category.late_payoff > 0:
@@ -276,7 +290,23 @@
             return False
         # What is nearly sure to come late only takes time from what could still be on time.
         mean = self.outlook / max(1, wi.due - wi.taken)
-        return True
+        return left > 0.5 * self.outlook and mean < 0.5 + 0.9 * rank
+
+    def back(self, r: Return) -> None:
+        """Learn how many own hand-offs the backends bear: fewer while answers are slow, more while not."""
+        if r.wi is None or r.outcome in (Outcome.UNSENT, Outcome.RECALLED, Outcome.UNREACHABLE):
+            return
+        category = r.wi.category
+        expected = self.facts.expected(category, r.wi.work)
+        sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
+        self.slowdown += 0.05 * (sample - self.slowdown)
+        bearable = min(CROWD, 0.6 * (category.due or CROWD * expected) / expected)
+        if self.slowdown > bearable:
+            self.limit = max(0.1, self.limit * 0.97)
+        else:
+            sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
+            if self.facts.open >= 0.5 * self.limit * sound:
+                self.limit = min(4 * CROWD, self.limit + 0.2 / sound)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
@@ -403,16 +433,25 @@
     def __init__(self, facts: Facts, soundness: Soundness):
         self.facts = facts
         self.soundness = soundness
+        # How far reports foretell waits, learned by regression; late, frozen or false ones fall to 0.
+        self.squares = 20.0
+        self.products = 10.0
+
+    @property
+    def belief(self) -> float:
+        return min(1.0, max(0.0, self.products / self.squares))
 
     def queue(self, b: Backend, now: Time) -> float:
         """Work items at the backend: the last reading, own sends since, fading into the smoothed one."""
         if b.pinned is not None:
             return b.pinned + b.own_since
-        others = b.smoothed
-        if b.read_at is not None:
-            fresh = exp(-(now - b.read_at) / (SECOND / 4))
-            others = 0.0
-        return len(b.own) + others
+        return len(b.own) + self.belief * self.others(b, now)
+
+    def others(self, b: Backend, now: Time) -> float:
+        if b.read_at is None:
+            return b.smoothed
+        fresh = exp(-(now - b.read_at) / (SECOND / 4))
+        return fresh * b.others + (1 - fresh) * b.smoothed
 
     def pace(self, b: Backend, now: Time) -> float:
         """Learned slowness; silence counts: what is overdue shows at least so slow a backend."""
@@ -436,7 +475,7 @@
             used = [ho.backend for ho in p.wi.sent]
             fresh = [b for b in choices if b not in used]
             choices = fresh or choices
-        weights = [self.view(b, p.now) ** -12.0 for b in choices]
+        weights = [self.view(b, p.now) ** -SHARPNESS for b in choices]
         p.pick = self.facts.chance.choices(choices, weights)[0]
         return True
 
@@ -473,6 +512,10 @@
             ratio = max(1, r.took) / (expected * (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED:
                 implied = r.took / expected - 1.0
+                own = r.ho.ahead - self.belief * r.ho.others
+                error = min(8.0, max(-2.0, r.took / (expected * exp(b.pace)) - 1.0 - own))
+                self.squares = 0.995 * self.squares + 0.1 + r.ho.others**2
+                self.products = 0.995 * self.products + 0.05 + r.ho.others * error
                 self._learn(category, r.wi.work, r.took / (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED or ratio > 1.0:
                 fade = exp(-(r.now - b.paced_at) / (8 * SECOND))
@@ -485,7 +528,9 @@
     def _learn(category: Category, work: float | None, alone: float) -> None:
         category.seen += 1
         gain = max(0.02, 1.0 / category.seen)
-        category.base = category.base + gain * (alone - category.base)
+        # Rises slower than it falls, or a jam would soon pass for the usual.
+        rise = gain if category.seen < 20 or alone < category.base else 0.25 * gain
+        category.base = category.base + rise * (alone - category.base)
         if work:
             category.work = category.work + gain * (work - category.work)
 
@@ -622,7 +667,7 @@
         wi = WorkItem(id, kind, now, due, expiry, customer, work, again)
         self.ledger.take(wi)
         self.admission.taken(wi, now)
-        self.copies = 0.0
+        self.copies = min(5.0, self.copies + 0.03)
         self._route(wi, now)
         return self._step(now)
 
@@ -641,8 +686,10 @@
         if ho is None:
             return self._step(now)
         ho.outcome = outcome
+        self.facts.open -= 1
         wi = self.ledger.open.get(id)
         r = Return(wi, ho, outcome, took, report, now)
+        self.admission.back(r)
         self.memory.back(r, self.zoning.threshold)
         self.zoning.back(r)
         self.soundness.back(r)
@@ -724,16 +771,18 @@
         expected = self.facts.expected(wi.category, wi.work)
         ahead = self.memory.queue(backend, now)
         due_back = now + int((1 + ahead) * expected * self.memory.pace(backend, now)) + 1
-        ho = Sent(len(wi.sent), backend, now, due_back, ahead, p.offload)
+        others = self.memory.others(backend, now)
+        ho = Sent(len(wi.sent), backend, now, due_back, ahead, others, p.offload)
         wi.sent.append(ho)
         wi.open += 1
+        self.facts.open += 1
         self.memory.sent(p, ho)
         self.soundness.sent(p)
         if p.extra:
             self.copies -= 1.0
         # The answer must reach the client before its expiry, so the last time-out comes a little sooner.
         time_out = max(1, wi.expiry - now - 2 * self.resolution)
-        patience = int(max(2.5 * (due_back - now), 2 * expected))
+        patience = int(max(4 * (due_back - now), 4 * expected))
         again = wi.category.effect is not Effect.EXCLUSIVE and wi.due - now - patience > expected
         if again and not p.extra:
             if self.facts.may_copy:
