--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -129,6 +129,7 @@
     paced_at: Time = 0
     distrust: float = 0.0
     distrust_at: Time = 0
+    heard_at: Time = -1  # when anything last came back
     tally: Ring = field(default_factory=lambda: Ring(4 * SECOND, 2, 8))
     budget: Ring | None = None
 
@@ -460,7 +461,7 @@
         if b.own:
             oldest = next(iter(b.own.values()))
             late = (now - oldest.at) / max(1.0, oldest.due_back - oldest.at)
-            if late > 1.5:
+            if late > 1.5 and b.heard_at < oldest.at:
                 pace *= late / 1.5
         return pace / self.soundness.capacity(b, now)
 
@@ -500,6 +501,8 @@
 
     def back(self, r: Return, threshold: float) -> None:
         b = r.ho.backend
+        if r.outcome in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL):
+            b.heard_at = r.now
         if r.outcome is Outcome.FULL:
             b.pinned, b.own_since = max(threshold, self.queue(b, r.now)), 0
             return
@@ -739,7 +742,9 @@
             wi = self.ledger.open.get(id)
             if wi is None or wi.streaming or wi.sent[number].outcome is not None:
                 continue
-            if self.copies >= 1.0 and len(wi.sent) == number + 1:
+            # A backend that answers others is at work on a heavy one: a copy would double the heaviest work.
+            ho = wi.sent[number]
+            if self.copies >= 1.0 and len(wi.sent) == number + 1 and ho.backend.heard_at < ho.at:
                 self._route(wi, now, extra=True)
         return self._step(now)
 
