--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -43,7 +43,7 @@
 # of them like a little; one that all like much fills in own hand-offs first, so a sharp draw is safe.
 SHARPNESS = 12.0
 # Work items at a backend beyond which more of them only wait: several times what keeps it busy.
-CROWD = 4.0
+CROWD = 6.0
 
 
 class Ring:
@@ -254,6 +254,7 @@
         # crowds a backend: all agents may start at once, each seeing idle backends.
         self.limit = CROWD / facts.agents
         self.slowdown = 1.0
+        self.probing = True  # no cut yet: the limit doubles with each round of answers
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -304,10 +305,11 @@
         bearable = min(CROWD, 0.6 * (category.due or CROWD * expected) / expected)
         if self.slowdown > bearable:
             self.limit = max(0.1, self.limit * 0.97)
+            self.probing = False
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
             if self.facts.open >= 0.5 * self.limit * sound:
-                self.limit = min(4 * CROWD, self.limit + 0.2 / sound)
+                self.limit = min(4 * CROWD, self.limit + (1.0 if self.probing else 0.2) / sound)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
