--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -26,6 +26,7 @@
     Life,
     Listing,
     Outcome,
+    Probe,
     Recall,
     Report,
     Step,
@@ -96,6 +97,7 @@
     others: float
     offload: bool
     outcome: Outcome | None = None
+    asked: bool = False
 
 
 @dataclass(slots=True)
@@ -414,20 +416,19 @@
         return backend.distrust * 0.5 ** ((now - backend.distrust_at) / (1.5 * SECOND))
 
     def back(self, r: Return) -> None:
-        backend = r.ho.backend
-        if r.outcome in (Outcome.FULL, Outcome.UNSENT, Outcome.RECALLED):
-            return
-        failed = r.outcome is not Outcome.FINISHED
-        backend.tally.add(r.now, 0, 1.0)
-        if failed:
-            backend.tally.add(r.now, 1, 1.0)
-        level = self.distrust(backend, r.now)
+        if r.outcome not in (Outcome.FULL, Outcome.UNSENT, Outcome.RECALLED):
+            self.judge(r.ho.backend, r.outcome is not Outcome.FINISHED, r.now)
+
+    def judge(self, backend: Backend, failed: bool, now: Time) -> None:
+        backend.tally.add(now, 0, 1.0)
+        level = self.distrust(backend, now)
         if failed:
+            backend.tally.add(now, 1, 1.0)
             # Against the fleet's median: when most of it fails, nobody is exiled.
-            level = max(level, min(0.95, self._share(backend, r.now) + 0.25 - self._median(r.now)))
+            level = max(level, min(0.95, self._share(backend, now) + 0.25 - self._median(now)))
         else:
             level *= 0.5
-        backend.distrust, backend.distrust_at = max(0.0, level), r.now
+        backend.distrust, backend.distrust_at = max(0.0, level), now
 
 
 class Memory:
@@ -647,6 +648,7 @@
         self.alarms: list[tuple[Time, int, WorkItemId, int]] = []
         self.alarm_count = 0
         self.copies = 3.0
+        self.may_probe = bool(self.facts.get("allowed.probes", False))
         self.resolution = max(1, self.facts.get("resolution", 10))
         self.acts: list[Act] = []
 
@@ -728,8 +730,12 @@
 
     def probed(self, now: Time, id: BackendId, outcome: Outcome, took: Time, report: Report) -> Step:
         backend = self.facts.backends.get(id)
-        if backend is not None and outcome is Outcome.FINISHED and report:
-            self.memory.read(backend, report, now, None)
+        if backend is not None:
+            if outcome is Outcome.FINISHED:
+                backend.heard_at = now
+                self.memory.read(backend, report, now, None)
+            if outcome not in (Outcome.FULL, Outcome.UNSENT):
+                self.soundness.judge(backend, outcome is not Outcome.FINISHED, now)
         return self._step(now)
 
     def streaming(self, now: Time, id: WorkItemId, number: int) -> Step:
@@ -746,7 +752,14 @@
                 continue
             # A backend that answers others is at work on a heavy one: a copy would double the heaviest work.
             ho = wi.sent[number]
-            if self.copies >= 1.0 and len(wi.sent) == number + 1 and ho.backend.heard_at < ho.at:
+            if self.copies < 1.0 or len(wi.sent) != number + 1 or ho.backend.heard_at >= ho.at:
+                continue
+            # Where work is not known beforehand, one lone heavy item looks like silence: ask first.
+            if self.may_probe and wi.work is None and not ho.asked:
+                ho.asked = True
+                self.acts.append(Probe(ho.backend.id))
+                self._alarm(now + int(self.facts.expected(wi.category, None)), wi, ho)
+            else:
                 self._route(wi, now, extra=True)
         return self._step(now)
 
@@ -793,12 +806,15 @@
         again = wi.category.effect is not Effect.EXCLUSIVE and wi.due - now - patience > expected
         if again and not p.extra:
             if self.facts.may_copy:
-                self.alarm_count += 1
-                heappush(self.alarms, (now + patience, self.alarm_count, wi.id, ho.number))
+                self._alarm(now + patience, wi, ho)
             elif patience < time_out and len(wi.sent) < 2:
                 time_out = patience
         self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
 
+    def _alarm(self, at: Time, wi: WorkItem, ho: Sent) -> None:
+        self.alarm_count += 1
+        heappush(self.alarms, (at, self.alarm_count, wi.id, ho.number))
+
     def _close(self, wi: WorkItem) -> None:
         """The client has its answer; what still runs for it is recalled where that is allowed."""
         del self.ledger.open[wi.id]
