--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -94,6 +94,7 @@
     at: Time
     due_back: Time
     ahead: float
+    own: int
     others: float
     offload: bool
     outcome: Outcome | None = None
@@ -440,16 +441,24 @@
         # How far reports foretell waits, learned by regression; late, frozen or false ones fall to 0.
         self.squares = 20.0
         self.products = 10.0
+        # How much each own hand-off there lengthens an answer: less than a whole one where answers wait
+        # on others for most of their time.
+        self.own_squares = 20.0
+        self.own_products = 20.0
 
     @property
     def belief(self) -> float:
         return min(1.0, max(0.0, self.products / self.squares))
 
+    @property
+    def crowding(self) -> float:
+        return min(1.5, max(0.1, self.own_products / self.own_squares))
+
     def queue(self, b: Backend, now: Time) -> float:
         """Work items at the backend: the last reading, own sends since, fading into the smoothed one."""
         if b.pinned is not None:
             return b.pinned + b.own_since
-        return len(b.own) + self.belief * self.others(b, now)
+        return self.crowding * len(b.own) + self.belief * self.others(b, now)
 
     def others(self, b: Backend, now: Time) -> float:
         if b.read_at is None:
@@ -518,8 +527,11 @@
             ratio = max(1, r.took) / (expected * (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED:
                 implied = r.took / expected - 1.0
-                own = r.ho.ahead - self.belief * r.ho.others
-                error = min(8.0, max(-2.0, r.took / (expected * exp(b.pace)) - 1.0 - own))
+                own = r.ho.own
+                longer = min(8.0, r.took / (expected * exp(b.pace)) - 1.0)
+                self.own_squares = 0.995 * self.own_squares + 0.1 + own**2
+                self.own_products = 0.995 * self.own_products + 0.1 + own * (longer - self.belief * r.ho.others)
+                error = longer - self.crowding * own
                 self.squares = 0.995 * self.squares + 0.1 + r.ho.others**2
                 self.products = 0.995 * self.products + 0.05 + r.ho.others * error
                 self._learn(category, r.wi.work, r.took / (1.0 + r.ho.ahead))
@@ -792,7 +804,8 @@
         ahead = self.memory.queue(backend, now)
         due_back = now + int((1 + ahead) * expected * self.memory.pace(backend, now)) + 1
         others = self.memory.others(backend, now)
-        ho = Sent(len(wi.sent), backend, now, due_back, ahead, others, p.offload)
+        own = len(backend.own)
+        ho = Sent(len(wi.sent), backend, now, due_back, ahead, own, others, p.offload)
         wi.sent.append(ho)
         wi.open += 1
         self.facts.open += 1
