--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -257,6 +257,7 @@
         # crowds a backend: all agents may start at once, each seeing idle backends.
         self.limit = CROWD / facts.agents
         self.slowdown = 1.0
+        self.pressed = False  # something was deferred for the limit since the last answer
         self.probing = True  # no cut yet: the limit doubles with each round of answers
 
     def taken(self, wi: WorkItem, now: Time) -> None:
@@ -285,6 +286,7 @@
             return True
         rank = self._rank(wi, p.now)
         if self.facts.open > 1 and self.facts.open >= self.limit * len(p.choices) * (0.4 + 0.6 * rank):
+            self.pressed = True
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
@@ -311,7 +313,8 @@
             self.probing = False
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
-            if self.facts.open >= 0.5 * self.limit * sound:
+            if self.pressed or self.facts.open >= 0.5 * self.limit * sound:
+                self.pressed = False
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.probing else 0.2) / sound)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
@@ -496,14 +499,14 @@
         p.pick.own[(p.wi.id, ho.number)] = ho
         p.pick.own_since += 1
 
-    def read(self, b: Backend, report: Report, now: Time, implied: float | None) -> None:
-        reading = report.get("outstanding")
-        if reading is None:
-            # A count of what waits reads 0 at a busy backend, so the answer's own time has a say.
-            reading = report.get("backlog", 0.0) + len(b.own)
-            if not report and implied is None:
-                return
-        others = max(0.0, reading - len(b.own))
+    def read(self, b: Backend, report: Report, now: Time) -> None:
+        if "outstanding" in report:
+            others = max(0.0, report["outstanding"] - len(b.own))
+        elif "backlog" in report:
+            # A count of what only waits reads 0 at a busy backend: own hand-offs come on top.
+            others = report["backlog"]
+        else:
+            return
         if b.read_at is None:
             b.smoothed = others
         else:
@@ -520,13 +523,11 @@
             return
         if r.outcome in (Outcome.UNREACHABLE, Outcome.UNSENT, Outcome.RECALLED):
             return
-        implied = None
         if r.wi is not None:
             category = r.wi.category
             expected = self.facts.expected(category, r.wi.work)
             ratio = max(1, r.took) / (expected * (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED:
-                implied = r.took / expected - 1.0
                 own = r.ho.own
                 longer = min(8.0, r.took / (expected * exp(b.pace)) - 1.0)
                 self.own_squares = 0.995 * self.own_squares + 0.1 + own**2
@@ -540,7 +541,7 @@
                 sample = log(min(8.0, max(0.25, ratio)))
                 b.pace = 0.95 * b.pace * fade + 0.05 * sample
                 b.paced_at = r.now
-        self.read(b, r.report, r.now, implied)
+        self.read(b, r.report, r.now)
 
     @staticmethod
     def _learn(category: Category, work: float | None, alone: float) -> None:
@@ -745,7 +746,7 @@
         if backend is not None:
             if outcome is Outcome.FINISHED:
                 backend.heard_at = now
-                self.memory.read(backend, report, now, None)
+                self.memory.read(backend, report, now)
             if outcome not in (Outcome.FULL, Outcome.UNSENT):
                 self.soundness.judge(backend, outcome is not Outcome.FINISHED, now)
         return self._step(now)
