--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -257,7 +257,6 @@
         # crowds a backend: all agents may start at once, each seeing idle backends.
         self.limit = CROWD / facts.agents
         self.slowdown = 1.0
-        self.pressed = False  # something was deferred for the limit since the last answer
         self.probing = True  # no cut yet: the limit doubles with each round of answers
 
     def taken(self, wi: WorkItem, now: Time) -> None:
@@ -286,7 +285,6 @@
             return True
         rank = self._rank(wi, p.now)
         if self.facts.open > 1 and self.facts.open >= self.limit * len(p.choices) * (0.4 + 0.6 * rank):
-            self.pressed = True
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
@@ -313,8 +311,7 @@
             self.probing = False
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
-            if self.pressed or self.facts.open >= 0.5 * self.limit * sound:
-                self.pressed = False
+            if self.facts.open >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.probing else 0.2) / sound)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
@@ -531,10 +528,10 @@
                 own = r.ho.own
                 longer = min(8.0, r.took / (expected * exp(b.pace)) - 1.0)
                 self.own_squares = 0.995 * self.own_squares + 0.1 + own**2
-                self.own_products = 0.995 * self.own_products + 0.1 + own * (longer - self.belief * r.ho.others)
-                error = longer - self.crowding * own
-                self.squares = 0.995 * self.squares + 0.1 + r.ho.others**2
-                self.products = 0.995 * self.products + 0.05 + r.ho.others * error
+                others = r.ho.others
+                self.own_products = 0.995 * self.own_products + 0.1 + own * (longer - self.belief * others)
+                self.squares = 0.995 * self.squares + 0.1 + others**2
+                self.products = 0.995 * self.products + 0.05 + others * (longer - self.crowding * own)
                 self._learn(category, r.wi.work, r.took / (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED or ratio > 1.0:
                 fade = exp(-(r.now - b.paced_at) / (8 * SECOND))
@@ -561,8 +558,9 @@
         self.facts = facts
         self.memory = memory
         self.threshold = FIRST_THRESHOLD
-        # Where late answers cost as much as crossings, the threshold stands still.
-        self.price = min(0.5, max(0.01, float(facts.get("tariffs.cross_zone", 0.0))))
+        # The threshold stands still where the share of late answers times what lateness costs meets the
+        # price of a crossing: one work item too many makes several behind it late.
+        self.price = min(0.5, max(0.01, 0.3 * float(facts.get("tariffs.cross_zone", 0.0))))
 
     def out(self, p: Passage) -> bool:
         home = [b for b in p.choices if b.listing.zone == self.facts.home]
@@ -590,7 +588,7 @@
             r.outcome in (Outcome.FINISHED, Outcome.OVERDUE) and r.now > r.wi.due
         )
         if late:
-            self.threshold = max(0.5, self.threshold * 0.9)
+            self.threshold = max(0.25, self.threshold * 0.9)
         elif r.outcome is Outcome.FINISHED:
             self.threshold = min(FIRST_THRESHOLD, self.threshold * 0.9 ** -(self.price / (1 - self.price)))
 
