--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -558,6 +558,8 @@
         self.facts = facts
         self.memory = memory
         self.threshold = FIRST_THRESHOLD
+        self.by_work = facts.get("payoff_by", "request") == "work"
+        self.worth = 0.0  # the usual worth of a work item
         # The threshold stands still where the share of late answers times what lateness costs meets the
         # price of a crossing: one work item too many makes several behind it late.
         self.price = min(0.5, max(0.01, 0.3 * float(facts.get("tariffs.cross_zone", 0.0))))
@@ -570,7 +572,7 @@
         if home and away:
             mean = self._mean(home, p.now)
             # An offload to peers no better off would only be declined, or wait longer there.
-            if mean < self.threshold or self._mean(away, p.now) >= mean:
+            if mean < self._bearable(p.wi) or self._mean(away, p.now) >= mean:
                 away = []
             else:
                 home = []
@@ -578,6 +580,12 @@
         p.choices = home or away
         return bool(p.choices)
 
+    def _bearable(self, wi: WorkItem) -> float:
+        """A crossing costs the same for all: what is worth more, and moves more work, crosses first."""
+        worth = wi.category.payoff * (self.facts.expected(wi.category, wi.work) if self.by_work else 1.0)
+        self.worth = worth if not self.worth else 0.98 * self.worth + 0.02 * worth
+        return self.threshold * min(3.0, max(0.5, self.worth / max(worth, 1e-9)))
+
     def _mean(self, backends: list[Backend], now: Time) -> float:
         return sum(self.memory.view(b, now) - 1.0 for b in backends) / len(backends)
 
