--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -45,6 +45,8 @@
 SHARPNESS = 12.0
 # Work items at a backend beyond which more of them only wait: several times what keeps it busy.
 CROWD = 6.0
+# Points of the result, as a fraction, that probing before draws may cost.
+PROBE_SPEND = 0.01
 
 
 class Ring:
@@ -114,6 +116,8 @@
     sent: list[Sent] = field(default_factory=list)
     open: int = 0
     must_home: bool = False
+    asking: int = 0  # probes out for its draw
+    asked: bool = False
     streaming: bool = False
 
 
@@ -148,6 +152,7 @@
     verdict: bool = False  # a stage has given it up
     offload: bool = False
     pick: Backend | None = None
+    ask: list[Backend] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -438,6 +443,14 @@
     def __init__(self, facts: Facts, soundness: Soundness):
         self.facts = facts
         self.soundness = soundness
+        # Probes are paid from a purse that fills with every work item, by what a probe costs.
+        # What only counts waiting work reads 0 at a busy backend: not worth the price.
+        self.may_probe = bool(facts.get("allowed.probes", False)) and "outstanding" in str(
+            facts.get("feedback.fields", "")
+        )
+        self.probe_gain = min(5.0, PROBE_SPEND / max(1e-6, float(facts.get("tariffs.probe", 0.0))))
+        self.probes = 0.0
+        self.probe_took = 0.0  # learned: how long one takes
         # How far reports foretell waits, learned by regression; late, frozen or false ones fall to 0.
         self.squares = 20.0
         self.products = 10.0
@@ -488,10 +501,24 @@
             used = [ho.backend for ho in p.wi.sent]
             fresh = [b for b in choices if b not in used]
             choices = fresh or choices
+        p.ask = self._stale(p, choices)
         weights = [self.view(b, p.now) ** -SHARPNESS for b in choices]
         p.pick = self.facts.chance.choices(choices, weights)[0]
         return True
 
+    def _stale(self, p: Passage, choices: list[Backend]) -> list[Backend]:
+        """Backends to ask before the draw: an agent with a trickle of traffic remembers only old queues."""
+        if p.wi.asked or p.wi.sent or not self.may_probe or len(choices) < 2:
+            return []
+        expected = self.facts.expected(p.wi.category, p.wi.work)
+        old = [b for b in choices if b.read_at is None or p.now - b.read_at > 0.1 * expected]
+        if self.probe_took > 0.05 * expected:
+            return []  # such a probe waits in line itself
+        old.sort(key=lambda b: self.view(b, p.now))
+        ask = old[: int(self.probes)]
+        self.probes -= len(ask)
+        return ask
+
     def sent(self, p: Passage, ho: Sent) -> None:
         p.pick.own[(p.wi.id, ho.number)] = ho
         p.pick.own_since += 1
@@ -667,6 +694,7 @@
         self.alarms: list[tuple[Time, int, WorkItemId, int]] = []
         self.alarm_count = 0
         self.copies = 3.0
+        self.asking: dict[BackendId, list[WorkItemId]] = {}
         self.may_probe = bool(self.facts.get("allowed.probes", False))
         self.resolution = max(1, self.facts.get("resolution", 10))
         self.acts: list[Act] = []
@@ -694,6 +722,7 @@
         self.ledger.take(wi)
         self.admission.taken(wi, now)
         self.copies = min(5.0, self.copies + 0.03)
+        self.memory.probes = min(10.0, self.memory.probes + self.memory.probe_gain)
         self._route(wi, now)
         return self._step(now)
 
@@ -755,6 +784,13 @@
                 self.memory.read(backend, report, now)
             if outcome not in (Outcome.FULL, Outcome.UNSENT):
                 self.soundness.judge(backend, outcome is not Outcome.FINISHED, now)
+        self.memory.probe_took += 0.1 * (took - self.memory.probe_took)
+        for waiting in self.asking.pop(id, ()):
+            wi = self.ledger.open.get(waiting)
+            if wi is not None and wi.asking:
+                wi.asking -= 1
+                if not wi.asking:
+                    self._route(wi, now)
         return self._step(now)
 
     def streaming(self, now: Time, id: WorkItemId, number: int) -> Step:
@@ -767,6 +803,11 @@
         while self.alarms and self.alarms[0][0] <= now:
             _, _, id, number = heappop(self.alarms)
             wi = self.ledger.open.get(id)
+            if number < 0:
+                if wi is not None and wi.asking:
+                    wi.asking = 0
+                    self._route(wi, now)
+                continue
             if wi is None or wi.streaming or wi.sent[number].outcome is not None:
                 continue
             # A backend that answers others is at work on a heavy one: a copy would double the heaviest work.
@@ -790,6 +831,8 @@
         if extra:
             p.choices = [b for b in p.choices if all(ho.backend is not b for ho in wi.sent)]
         if all(stage.out(p) for stage in self.stages) and self._legal(p):
+            if p.ask and self._ask(p):
+                return
             self._hand_off(p)
         elif not wi.open:
             # Given up on: it gets its answer now, not near its expiry.
@@ -805,6 +848,21 @@
             and self.soundness.allows(p.wi, p.pick, p.now)
         )
 
+    def _ask(self, p: Passage) -> bool:
+        """Probe before the draw; whether the work item is kept until the probes are back."""
+        wi, memory = p.wi, self.memory
+        wi.asked = True
+        self.acts += [Probe(b.id) for b in p.ask]
+        patience = 2 * self.resolution + int(2 * memory.probe_took)
+        if patience > 0.1 * self.facts.expected(wi.category, wi.work):
+            return False
+        wi.asking = len(p.ask)
+        for b in p.ask:
+            self.asking.setdefault(b.id, []).append(wi.id)
+        self.alarm_count += 1
+        heappush(self.alarms, (p.now + patience, self.alarm_count, wi.id, -1))
+        return True
+
     def _hand_off(self, p: Passage) -> None:
         wi, now, backend = p.wi, p.now, p.pick
         expected = self.facts.expected(wi.category, wi.work)
