--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,213 @@
+from collections import Counter
+
+import pytest
+from helpers import SECOND, Drive, answers, fleet, hand_offs, settings
+
+from nettledeal.decide import FIRST_THRESHOLD, Balancer
+from nettledeal.model import Life, Listing, Outcome, Probe, Recall
+
+
+def spread(drive, count=60, report=None, after=800):
+    """Where one work item after another goes, each answered before the next."""
+    seen = Counter()
+    for _ in range(count):
+        acts = drive.take()
+        for ho in hand_offs(acts):
+            seen[ho.backend] += 1
+            drive.back(ho, after=after(ho) if callable(after) else after, report=report(ho) if report else None)
+    return seen
+
+
+def test_home_while_its_queues_are_short():
+    assert set(spread(Drive())) <= {"b0", "b1", "b2"}
+
+
+@pytest.mark.parametrize(
+    ("home", "away", "goes"), [(9, 0, {"b2", "b3"}), (9, 30, {"b0", "b1"}), (0, 0, {"b0", "b1"})]
+)
+def test_overflow_only_when_home_is_long_and_peers_are_shorter(home, away, goes):
+    drive = Drive(fleet((0, 0, 1, 1)))
+    for n, queue in enumerate((home, home, away, away)):
+        for _ in range(12):
+            drive.balancer.probed(drive.now, f"b{n}", Outcome.FINISHED, 3, {"outstanding": queue})
+    (ho,) = hand_offs(drive.take(0, 20_000))
+    assert ho.backend in goes
+
+
+def test_declined_offload_goes_home_once():
+    drive = Drive(fleet((0, 1)))
+    for _ in range(12):
+        drive.balancer.probed(drive.now, "b0", Outcome.FINISHED, 3, {"outstanding": 9})
+    (ho,) = hand_offs(drive.take())
+    assert ho.backend == "b1"
+    (ho,) = hand_offs(drive.back(ho, Outcome.FULL, after=20))
+    assert ho.backend == "b0"
+
+
+def test_full_pins_the_memory_until_the_next_report():
+    drive = Drive(fleet((0, 0)))
+    (ho,) = hand_offs(drive.take())
+    drive.back(ho, Outcome.FULL, after=20)
+    backend = drive.balancer.facts.backends[ho.backend]
+    memory = drive.balancer.memory
+    assert memory.queue(backend, drive.now) >= FIRST_THRESHOLD
+    memory.read(backend, {"outstanding": 0.0}, drive.now)
+    assert memory.queue(backend, drive.now) < FIRST_THRESHOLD
+
+
+def test_smoothing_keeps_seven_tenths_of_history():
+    drive = Drive(fleet((0,)))
+    backend = drive.balancer.facts.backends["b0"]
+    memory = drive.balancer.memory
+    memory.read(backend, {"outstanding": 10.0}, drive.now)
+    memory.read(backend, {"outstanding": 0.0}, drive.now)
+    assert backend.smoothed == pytest.approx(7.0)
+    memory.read(backend, {"outstanding": 0.0}, drive.now + 3 * SECOND)
+    assert backend.smoothed == pytest.approx(7.0 * 0.7**3)
+
+
+def test_draw_counts_own_sends():
+    drive = Drive(fleet((0, 0, 0)))
+    sent = [hand_offs(drive.take())[0].backend for _ in range(3)]
+    assert sorted(sent) == ["b0", "b1", "b2"]
+
+
+@pytest.mark.parametrize(("late", "falls"), [(True, True), (False, False)])
+def test_threshold_learns_from_late_answers(late, falls):
+    drive = Drive()
+    before = drive.balancer.zoning.threshold = 1.0
+    spread(drive, 5, after=11_000 if late else 500)
+    assert (drive.balancer.zoning.threshold < before) == falls
+
+
+def test_slow_backend_draws_less():
+    drive = Drive(fleet((0, 0, 0)))
+    seen = spread(drive, 300, after=lambda ho: 3000 if ho.backend == "b0" else 500)
+    assert seen["b0"] < 0.5 * min(seen["b1"], seen["b2"])
+
+
+def test_failing_backend_loses_traffic_and_gets_it_back():
+    drive = Drive(fleet((0, 0, 0, 0)))
+    broken = True
+    seen = Counter()
+    for n in range(400):
+        broken = n < 200
+        for ho in hand_offs(drive.take()):
+            seen[ho.backend, broken] += 1
+            bad = broken and ho.backend == "b0"
+            acts = drive.back(ho, Outcome.UNREACHABLE if bad else Outcome.FINISHED, after=500)
+            for second in hand_offs(acts):
+                drive.back(second, after=500)
+    assert seen["b0", True] < 0.6 * seen["b1", True]
+    assert seen["b0", False] > 20
+
+
+def test_most_of_the_fleet_failing_exiles_nobody():
+    drive = Drive(fleet((0, 0, 0, 0, 0)))
+    soundness = drive.balancer.soundness
+    for _ in range(20):
+        drive.now += SECOND // 2
+        for n in range(5):
+            soundness.judge(drive.balancer.facts.backends[f"b{n}"], n < 4, drive.now)
+    assert all(
+        soundness.distrust(drive.balancer.facts.backends[f"b{n}"], drive.now) < 0.6 for n in range(5)
+    )
+
+
+def test_crowd_is_deferred_at_once_with_a_time_to_come_back():
+    drive = Drive(balancers=8)
+    acts = [act for _ in range(40) for act in drive.take()]
+    deferred = answers(acts)
+    assert 2 <= len(hand_offs(acts)) < 20
+    assert deferred
+    assert all(0 < answer.come_back <= 2 * SECOND for answer in deferred)
+
+
+def test_low_payoff_is_deferred_first():
+    drive = Drive(balancers=8, categories__0__payoff=1.0, categories__3__payoff=8.0)
+    kept = Counter()
+    for _ in range(30):
+        for category in (0, 3):
+            kept[category] += len(hand_offs(drive.take(category)))
+    assert kept[3] > kept[0]
+
+
+def test_copy_only_after_silence_and_the_loser_is_recalled():
+    drive = Drive(fleet((0, 0, 0)), allowed__may_duplicate=True)
+    spread(drive, 30, after=300)
+    drive.balancer.copies = 3.0
+    acts = drive.take(0, 20_000, work=100.0)
+    (first,) = hand_offs(acts)
+    drive.now += 6000
+    (copy,) = hand_offs(drive.balancer.wake(drive.now).acts)
+    assert copy.backend != first.backend
+    assert drive.back(copy, after=300) == [Recall(first.work_item, 0)]
+
+
+def test_probe_before_the_draw_where_it_is_cheap_and_tells():
+    drive = Drive(
+        fleet((0, 0, 0)),
+        allowed__probes=True,
+        tariffs__probe=0.002,
+        feedback__fields="outstanding,backlog",
+    )
+    acts = drive.take()
+    assert len(acts) == 3
+    assert all(isinstance(act, Probe) for act in acts)
+    for queue, name in enumerate(("b0", "b1", "b2")):
+        report = {"outstanding": 2.0 * queue}
+        acts = drive.balancer.probed(drive.now + 5, name, Outcome.FINISHED, 5, report).acts
+    assert [ho.backend for ho in hand_offs(acts)] == ["b0"]
+
+
+def test_lost_probes_do_not_keep_a_work_item():
+    drive = Drive(allowed__probes=True, tariffs__probe=0.002, feedback__fields="outstanding")
+    drive.take()
+    assert hand_offs(drive.balancer.wake(drive.now + 100).acts)
+
+
+def test_asks_for_the_list_until_it_is_heard():
+    balancer = Balancer(1, settings(discovery="on_request"), 0)
+    asked = []
+    now = balancer.start(0).wake
+    for _ in range(3):
+        step = balancer.wake(now)
+        asked += step.acts
+        now = step.wake
+        assert now < 40 * SECOND
+    assert len(asked) == 3
+    assert balancer.roster(now, fleet(), whole=True, cached=False).wake is None
+
+
+@pytest.mark.parametrize(
+    ("listings", "whole", "running"),
+    [
+        ([Listing("b0")], True, {"b0"}),
+        ([Listing("b0", life=Life.GONE)], False, {"b1"}),
+        ([Listing("b9")], False, {"b0", "b1", "b9"}),
+        ([], True, set()),
+    ],
+)
+def test_lists(listings, whole, running):
+    drive = Drive(fleet((0, 0)))
+    drive.balancer.roster(drive.now, listings, whole=whole, cached=False)
+    assert {b.id for b in drive.balancer.facts.backends.values() if b.listing.life is Life.RUNNING} == running
+
+
+def test_returning_backend_is_cold_and_forgiven():
+    drive = Drive(fleet((0, 0)))
+    drive.balancer.soundness.judge(drive.balancer.facts.backends["b0"], True, drive.now)
+    drive.balancer.roster(drive.now, [Listing("b0", started=drive.now)], whole=False, cached=False)
+    backend = drive.balancer.facts.backends["b0"]
+    assert drive.balancer.soundness.capacity(backend, drive.now) == pytest.approx(0.3)
+    assert drive.balancer.soundness.distrust(backend, drive.now) == 0
+
+
+def test_stale_list_is_trusted_for_two_hand_offs():
+    drive = Drive([])
+    drive.balancer.roster(drive.now, fleet((0,)), whole=True, cached=True)
+    assert sum(len(hand_offs(drive.take())) for _ in range(6)) == 2
+
+
+def test_same_calls_same_steps():
+    assert spread(Drive(seed=7), 100) == spread(Drive(seed=7), 100)
