--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,14 +7,14 @@
 from nettledeal.model import Life, Listing, Outcome, Probe, Recall
 
 
-def spread(drive, count=60, report=None, after=800):
+def spread(drive, count=60, after=800):
     """Where one work item after another goes, each answered before the next."""
     seen = Counter()
     for _ in range(count):
         acts = drive.take()
         for ho in hand_offs(acts):
             seen[ho.backend] += 1
-            drive.back(ho, after=after(ho) if callable(after) else after, report=report(ho) if report else None)
+            drive.back(ho, after=after(ho) if callable(after) else after)
     return seen
 
 
