--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -289,7 +289,9 @@
         if not p.choices:
             return True
         rank = self._rank(wi, p.now)
-        if self.facts.open > 1 and self.facts.open >= self.limit * len(p.choices) * (0.4 + 0.6 * rank):
+        # Backends still cold, or distrusted, add only what they bear: half a fleet replaced is no fleet.
+        room = self.limit * sum(self.memory.worthy(b, p.now) for b in p.choices)
+        if self.facts.open > 1 and self.facts.open >= room * (0.4 + 0.6 * rank):
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
@@ -490,6 +492,10 @@
                 pace *= late / 1.5
         return pace / self.soundness.capacity(b, now)
 
+    def worthy(self, b: Backend, now: Time) -> float:
+        """How much of a sound, warm backend this one is now."""
+        return self.soundness.capacity(b, now) * (1.0 - self.soundness.distrust(b, now))
+
     def view(self, b: Backend, now: Time) -> float:
         """The time an answer from there is expected to take, in times of one with nothing ahead."""
         trust = 1.0 - self.soundness.distrust(b, now)
