--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -312,7 +312,7 @@
         expected = self.facts.expected(category, r.wi.work)
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
         self.slowdown += 0.05 * (sample - self.slowdown)
-        bearable = min(CROWD, 0.6 * (category.due or CROWD * expected) / expected)
+        bearable = min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected)
         if self.slowdown > bearable:
             self.limit = max(0.1, self.limit * 0.97)
             self.probing = False
