--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -82,6 +82,7 @@
     effect: Effect
     group: Group
     window: Time
+    usual: Time = 0  # learned: how long a first try may wait
     base: float = 0.0  # learned: time an answer takes with nothing ahead of it
     seen: int = 0
     work: float = 0.0  # learned: mean hint
@@ -302,7 +303,7 @@
             return False
         # What is nearly sure to come late only takes time from what could still be on time.
         mean = self.outlook / max(1, wi.due - wi.taken)
-        return left > 0.6 * self.outlook and mean < 0.45 + 0.8 * rank
+        return left > 0.7 * self.outlook and mean < 0.4 + 0.6 * rank
 
     def back(self, r: Return) -> None:
         """Learn how many own hand-offs the backends bear: fewer while answers are slow, more while not."""
@@ -723,7 +724,10 @@
         again: bool = False,
     ) -> Step:
         kind = self.facts.category(category)
-        due = expiry if not kind.due else min(expiry, now + kind.due + int(kind.stretch * (work or 0)))
+        due = expiry
+        if kind.due:
+            allowed = kind.due + int(kind.stretch * (work or 0))
+            due = min(expiry, self._first_taken(now, kind, expiry, again) + allowed)
         wi = WorkItem(id, kind, now, due, expiry, customer, work, again)
         self.ledger.take(wi)
         self.admission.taken(wi, now)
@@ -732,6 +736,18 @@
         self._route(wi, now)
         return self._step(now)
 
+    def _first_taken(self, now: Time, category: Category, expiry: Time, again: bool) -> Time:
+        """When the client first asked: its due time runs from there, and late repeats are wasted work.
+
+        A first try may wait as long as other first tries; a repeat that may wait for another time has
+        what is left of the category's whole expiry.
+        """
+        if not again:
+            category.usual = expiry - now
+        elif abs(expiry - now - category.usual) > 2 * self.resolution:
+            return min(now, expiry - category.expiry)
+        return now
+
     def returned(
         self,
         now: Time,
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -211,3 +211,13 @@
 
 def test_same_calls_same_steps():
     assert spread(Drive(seed=7), 100) == spread(Drive(seed=7), 100)
+
+
+@pytest.mark.parametrize(
+    ("expiry", "again", "sent"),
+    [(12_000, False, 1), (12_000, True, 1), (9_000, True, 0), (19_000, True, 1), (9_000, False, 1)],
+)
+def test_repeat_past_its_first_due_time_is_not_sent(expiry, again, sent):
+    drive = Drive()
+    drive.take(0, 12_000)
+    assert len(hand_offs(drive.take(0, expiry, again=again))) == sent
