--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -102,6 +102,7 @@
     offload: bool
     outcome: Outcome | None = None
     asked: bool = False
+    lost: bool = False
 
 
 @dataclass(slots=True)
@@ -425,7 +426,9 @@
         return backend.distrust * 0.5 ** ((now - backend.distrust_at) / (1.5 * SECOND))
 
     def back(self, r: Return) -> None:
-        if r.outcome not in (Outcome.FULL, Outcome.UNSENT, Outcome.RECALLED):
+        if r.outcome not in (Outcome.FULL, Outcome.UNSENT, Outcome.RECALLED) and (
+            r.outcome is Outcome.FINISHED or not r.ho.lost
+        ):
             self.judge(r.ho.backend, r.outcome is not Outcome.FINISHED, r.now)
 
     def judge(self, backend: Backend, failed: bool, now: Time) -> None:
@@ -763,7 +766,7 @@
         if ho is None:
             return self._step(now)
         ho.outcome = outcome
-        self.facts.open -= 1
+        self.facts.open -= not ho.lost
         wi = self.ledger.open.get(id)
         r = Return(wi, ho, outcome, took, report, now)
         self.admission.back(r)
@@ -832,18 +835,31 @@
                 continue
             if wi is None or wi.streaming or wi.sent[number].outcome is not None:
                 continue
-            # A backend that answers others is at work on a heavy one: a copy would double the heaviest work.
-            ho = wi.sent[number]
-            if self.copies < 1.0 or len(wi.sent) != number + 1 or ho.backend.heard_at >= ho.at:
-                continue
-            # Where work is not known beforehand, one lone heavy item looks like silence: ask first.
-            if self.may_probe and wi.work is None and not ho.asked:
+            self._overdue(wi, wi.sent[number], now)
+        return self._step(now)
+
+    def _overdue(self, wi: WorkItem, ho: Sent, now: Time) -> None:
+        """Nothing has come of a hand-off for several times as long as it should have taken."""
+        if wi.work is None:
+            # A backend that answers others may be at work on a heavy one: a copy would double the heaviest
+            # work. A lone heavy item looks like silence, so a probe asks first.
+            if ho.backend.heard_at >= ho.at:
+                return
+            if self.may_probe and not ho.asked:
                 ho.asked = True
                 self.acts.append(Probe(ho.backend.id))
                 self._alarm(now + int(self.facts.expected(wi.category, None)), wi, ho)
-            else:
-                self._route(wi, now, extra=True)
-        return self._step(now)
+                return
+        # A backend that swallows some of its work would otherwise fill the limit with what never returns.
+        ho.lost = True
+        self.facts.open -= 1
+        self.soundness.judge(ho.backend, True, now)
+        if wi.due - now <= self.facts.expected(wi.category, wi.work) or len(wi.sent) != ho.number + 1:
+            return
+        if self.facts.may_copy and self.copies >= 1.0:
+            self._route(wi, now, extra=True)
+        elif not self.facts.may_copy and self.facts.may_recall and wi.category.effect is Effect.RERUNNABLE:
+            self.acts.append(Recall(wi.id, ho.number))
 
     # Out through the stages.
 
@@ -903,12 +919,7 @@
         # The answer must reach the client before its expiry, so the last time-out comes a little sooner.
         time_out = max(1, wi.expiry - now - 2 * self.resolution)
         patience = int(max(4 * (due_back - now), 4 * expected))
-        again = wi.category.effect is not Effect.EXCLUSIVE and wi.due - now - patience > expected
-        if again and not p.extra:
-            if self.facts.may_copy:
-                self._alarm(now + patience, wi, ho)
-            elif patience < time_out and len(wi.sent) < 2:
-                time_out = patience
+        self._alarm(now + patience, wi, ho)
         self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
 
     def _alarm(self, at: Time, wi: WorkItem, ho: Sent) -> None:
