--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -436,8 +436,10 @@
         level = self.distrust(backend, now)
         if failed:
             backend.tally.add(now, 1, 1.0)
-            # Against the fleet's median: when most of it fails, nobody is exiled.
-            level = max(level, min(0.95, self._share(backend, now) + 0.25 - self._median(now)))
+            # Against the fleet's median: what all share is no fault of one, and nobody is exiled for it. But
+            # what fails nearly always gets no work for company: half of a fleet cut off is no excuse.
+            usual = min(0.5, self._median(now))
+            level = max(level, min(0.95, self._share(backend, now) + 0.25 - usual))
         else:
             level *= 0.5
         backend.distrust, backend.distrust_at = max(0.0, level), now
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -102,16 +102,21 @@
     assert seen["b0", False] > 20
 
 
-def test_most_of_the_fleet_failing_exiles_nobody():
+@pytest.mark.parametrize(
+    ("failing", "share", "distrusted"), [(4, 0.5, False), (3, 1.0, True), (5, 1.0, True)]
+)
+def test_distrust_goes_by_the_fleet_median_up_to_half(failing, share, distrusted):
     drive = Drive(fleet((0, 0, 0, 0, 0)))
     soundness = drive.balancer.soundness
-    for _ in range(20):
-        drive.now += SECOND // 2
-        for n in range(5):
-            soundness.judge(drive.balancer.facts.backends[f"b{n}"], n < 4, drive.now)
-    assert all(
-        soundness.distrust(drive.balancer.facts.backends[f"b{n}"], drive.now) < 0.6 for n in range(5)
-    )
+    backends = list(drive.balancer.facts.backends.values())
+    for turn in range(20):
+        drive.now += 2000
+        for n, backend in enumerate(backends):
+            soundness.judge(backend, n < failing and turn % 2 < 2 * share, drive.now)
+    levels = [soundness.distrust(backend, drive.now) for backend in backends]
+    assert all((level > 0.5) == distrusted for level in levels[:failing])
+    # Even when all fail alike, none is out of the draw for good.
+    assert all(soundness.distrust(backend, drive.now + 3 * SECOND) < 0.25 for backend in backends)
 
 
 def test_crowd_is_deferred_at_once_with_a_time_to_come_back():
