--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -264,7 +264,10 @@
         # crowds a backend: all agents may start at once, each seeing idle backends.
         self.limit = CROWD / facts.agents
         self.slowdown = 1.0
-        self.probing = True  # no cut yet: the limit doubles with each round of answers
+        # Up to here the limit doubles with each round of answers: till the first cut, and to half of what
+        # was borne before, or a fleet that has recovered would be kept idle.
+        self.safe = 4 * CROWD
+        self.cut_at = 0
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -316,12 +319,16 @@
         self.slowdown += 0.05 * (sample - self.slowdown)
         bearable = min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected)
         if self.slowdown > bearable:
-            self.limit = max(0.1, self.limit * 0.97)
-            self.probing = False
+            # Once for each round of answers: those sent before the last cut say nothing of it.
+            if r.ho.at >= self.cut_at:
+                self.cut_at = r.now
+                self.safe = min(max(0.5 * self.limit, 0.95 * self.safe), 4 * CROWD)
+                # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
+                self.limit = max(1.0 / self.facts.agents, self.limit * 0.7)
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
             if self.facts.open >= 0.5 * self.limit * sound:
-                self.limit = min(4 * CROWD, self.limit + (1.0 if self.probing else 0.2) / sound)
+                self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
