--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -268,6 +268,7 @@
         # was borne before, or a fleet that has recovered would be kept idle.
         self.safe = 4 * CROWD
         self.cut_at = 0
+        self.cuts = 0
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -322,9 +323,10 @@
             # Once for each round of answers: those sent before the last cut say nothing of it.
             if r.ho.at >= self.cut_at:
                 self.cut_at = r.now
-                self.safe = min(max(0.5 * self.limit, 0.95 * self.safe), 4 * CROWD)
+                self.safe = 0.5 * self.limit if self.limit > self.safe or not self.cuts else 0.9 * self.safe
+                self.cuts += 1
                 # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
-                self.limit = max(1.0 / self.facts.agents, self.limit * 0.7)
+                self.limit = max(1.0 / self.facts.agents, self.limit * 0.5)
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
             if self.facts.open >= 0.5 * self.limit * sound:
