--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -312,8 +312,7 @@
 
     def back(self, r: Return) -> None:
         """Learn how many own hand-offs the backends bear: fewer while answers are slow, more while not."""
-        # What one backend swallowed, dropped or could not take in says nothing of the crowd.
-        if r.wi is None or r.ho.lost or r.outcome not in (Outcome.FINISHED, Outcome.FULL, Outcome.ERROR):
+        if r.wi is None or r.outcome in (Outcome.UNSENT, Outcome.RECALLED, Outcome.UNREACHABLE):
             return
         category = r.wi.category
         expected = self.facts.expected(category, r.wi.work)
