--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -318,7 +318,7 @@
         expected = self.facts.expected(category, r.wi.work)
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
         self.slowdown += 0.05 * (sample - self.slowdown)
-        bearable = min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected)
+        bearable = 0.6 * CROWD
         if self.slowdown > bearable:
             # Once for each round of answers: those sent before the last cut say nothing of it.
             if r.ho.at >= self.cut_at:
@@ -326,7 +326,7 @@
                 self.safe = 0.5 * self.limit if self.limit > self.safe or not self.cuts else 0.9 * self.safe
                 self.cuts += 1
                 # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
-                self.limit = max(1.0 / self.facts.agents, self.limit * 0.5)
+                self.limit = max(1.0 / self.facts.agents, self.limit * max(0.5, bearable / self.slowdown))
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
             if self.facts.open >= 0.5 * self.limit * sound:
