--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -326,7 +326,7 @@
                 self.safe = 0.5 * self.limit if self.limit > self.safe or not self.cuts else 0.9 * self.safe
                 self.cuts += 1
                 # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
-                self.limit = max(1.0 / self.facts.agents, self.limit * max(0.5, bearable / self.slowdown))
+                self.limit = max(1.0 / self.facts.agents, self.limit * max(0.5, (bearable / self.slowdown) ** 3))
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
             if self.facts.open >= 0.5 * self.limit * sound:
