--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -319,7 +319,7 @@
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
         self.slowdown += 0.05 * (sample - self.slowdown)
         bearable = min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected)
-        if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
+        if self.slowdown > 0.65 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
             self._cut(0.5)
