--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -322,11 +322,8 @@
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
-            # Quick growth goes back to half of what was borne before the first cut, not further.
-            self.safe = 0.5 * self.limit if self.limit > self.safe or not self.cuts else 0.9 * self.safe
-            self.cuts += 1
             self._cut(0.5)
-        elif self.slowdown > bearable and r.ho.at >= self.cut_at:
+        elif self.slowdown > bearable:
             self._cut(0.97)
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
@@ -334,6 +331,9 @@
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
     def _cut(self, keep: float) -> None:
+        # Quick growth goes back to half of what was borne before the first cut, not further.
+        self.safe = 0.5 * self.limit if self.limit > self.safe or not self.cuts else 0.99 * self.safe
+        self.cuts += 1
         # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
         self.limit = max(1.0 / self.facts.agents, keep * self.limit)
 
