--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -308,7 +308,7 @@
             return False
         # What is nearly sure to come late only takes time from what could still be on time.
         mean = self.outlook / max(1, wi.due - wi.taken)
-        return left > 0.7 * self.outlook and mean < 0.4 + 0.6 * rank
+        return left > 0.5 * self.outlook and mean < 0.5 + 0.9 * rank
 
     def back(self, r: Return) -> None:
         """Learn how many own hand-offs the backends bear: fewer while answers are slow, more while not."""
