--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -322,21 +322,20 @@
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
-            self._cut(0.5, 1.0)
+            self._cut(0.5)
         elif self.slowdown > bearable:
-            # Not under a fair share of half a crowd: a few heavy answers would defer a quiet agent's work.
-            self._cut(0.97, 0.5 * CROWD)
+            self._cut(0.97)
         else:
             sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
             if self.facts.open >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
-    def _cut(self, keep: float, least: float) -> None:
+    def _cut(self, keep: float) -> None:
         # Quick growth goes back to half of what was borne before the first cut, not further.
         self.safe = 0.5 * self.limit if self.limit > self.safe or not self.cuts else 0.99 * self.safe
         self.cuts += 1
         # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
-        self.limit = max(min(self.limit, least / self.facts.agents), keep * self.limit)
+        self.limit = max(1.0 / self.facts.agents, keep * self.limit)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
@@ -937,6 +936,10 @@
         time_out = max(1, wi.expiry - now - 2 * self.resolution)
         patience = int(max(4 * (due_back - now), 4 * expected))
         self._alarm(now + patience, wi, ho)
+        # Where no copy may go beside it, a straggler is given up while another backend can still be on time.
+        again = wi.category.effect is Effect.RERUNNABLE and wi.due - now - patience > expected
+        if again and not self.facts.may_copy and len(wi.sent) < 2:
+            time_out = min(time_out, patience)
         self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
 
     def _alarm(self, at: Time, wi: WorkItem, ho: Sent) -> None:
