--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -936,9 +936,10 @@
         time_out = max(1, wi.expiry - now - 2 * self.resolution)
         patience = int(max(4 * (due_back - now), 4 * expected))
         self._alarm(now + patience, wi, ho)
-        # Where no copy may go beside it, a straggler is given up while another backend can still be on time.
+        # Where no copy may go beside it, a straggler is given up while another backend can still be on time;
+        # only in an idle fleet, since what was begun goes on and is done twice.
         again = wi.category.effect is Effect.RERUNNABLE and wi.due - now - patience > expected
-        if again and not self.facts.may_copy and len(wi.sent) < 2:
+        if again and not self.facts.may_copy and len(wi.sent) < 2 and self.admission.slowdown < 1.5:
             time_out = min(time_out, patience)
         self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -226,3 +226,14 @@
     drive = Drive()
     drive.take(0, 12_000)
     assert len(hand_offs(drive.take(0, expiry, again=again))) == sent
+
+
+@pytest.mark.parametrize(
+    ("slowdown", "copies", "early"), [(1.0, False, True), (3.0, False, False), (1.0, True, False)]
+)
+def test_straggler_is_given_up_early_in_an_idle_fleet_only(slowdown, copies, early):
+    drive = Drive(allowed__may_duplicate=copies)
+    spread(drive, 30, after=300)
+    drive.balancer.admission.slowdown = slowdown
+    (ho,) = hand_offs(drive.take())
+    assert (ho.time_out < 10_000) == early
