--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -704,6 +704,9 @@
                     backend.listing = Listing(
                         id, Life.GONE, listing.zone, listing.kind, listing.cell, listing.size, listing.started
                     )
+        # Fleets are replaced for ever: what is gone and holds nothing of ours must not slow each decision.
+        for id in [id for id, b in backends.items() if b.listing.life is Life.GONE and not b.own]:
+            del backends[id]
 
 
 class Balancer:
@@ -723,6 +726,7 @@
         self.asking: dict[BackendId, list[WorkItemId]] = {}
         self.may_probe = bool(self.facts.get("allowed.probes", False))
         self.resolution = max(1, self.facts.get("resolution", 10))
+        self.out: dict[tuple[WorkItemId, int], Sent] = {}
         self.acts: list[Act] = []
 
     # The calls of the host.
@@ -926,6 +930,7 @@
         own = len(backend.own)
         ho = Sent(len(wi.sent), backend, now, due_back, ahead, own, others, p.offload)
         wi.sent.append(ho)
+        self.out[(wi.id, ho.number)] = ho
         wi.open += 1
         self.facts.open += 1
         self.memory.sent(p, ho)
@@ -954,11 +959,10 @@
             self.acts += [Recall(wi.id, ho.number) for ho in wi.sent if ho.outcome is None]
 
     def _forget(self, id: WorkItemId, number: int) -> Sent | None:
-        for backend in self.facts.backends.values():
-            ho = backend.own.pop((id, number), None)
-            if ho is not None:
-                return ho
-        return None
+        ho = self.out.pop((id, number), None)
+        if ho is not None:
+            ho.backend.own.pop((id, number), None)
+        return ho
 
     def _step(self, now: Time) -> Step:
         self.acts += self.roster_keeper.wake(now)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -237,3 +237,14 @@
     drive.balancer.admission.slowdown = slowdown
     (ho,) = hand_offs(drive.take())
     assert (ho.time_out < 10_000) == early
+
+
+def test_replaced_fleets_leave_nothing_behind():
+    drive = Drive(fleet((0, 0)))
+    (ho,) = hand_offs(drive.take())
+    drive.balancer.roster(drive.now, [Listing("b9")], whole=True, cached=False)
+    assert set(drive.balancer.facts.backends) == {ho.backend, "b9"}
+    assert drive.back(ho) == []
+    drive.balancer.roster(drive.now, [], whole=False, cached=False)
+    assert set(drive.balancer.facts.backends) == {"b9"}
+    assert not drive.balancer.out
