--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -184,7 +184,6 @@
         # A category out of range has unknown rights: it gets the strictest ones.
         self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
         self.open = 0  # hand-offs out now
-        self.usual_size = 1.0
 
     def get(self, name: str, default):
         return self.settings.get(name, default)
@@ -502,14 +501,10 @@
         fresh = exp(-(now - b.read_at) / (SECOND / 4))
         return fresh * b.others + (1 - fresh) * b.smoothed
 
-    def prior(self, b: Backend) -> float:
-        """Slowness as listed, where sizes are listed: what has been learned fades back to it."""
-        return self.facts.usual_size / max(1e-3, b.listing.size)
-
     def pace(self, b: Backend, now: Time) -> float:
         """Learned slowness; silence counts: what is overdue shows at least so slow a backend."""
         fade = exp(-(now - b.paced_at) / (8 * SECOND))
-        pace = self.prior(b) * exp(b.pace * fade)
+        pace = exp(b.pace * fade)
         if b.own:
             oldest = next(iter(b.own.values()))
             late = (now - oldest.at) / max(1.0, oldest.due_back - oldest.at)
@@ -581,10 +576,10 @@
         if r.wi is not None:
             category = r.wi.category
             expected = self.facts.expected(category, r.wi.work)
-            ratio = max(1, r.took) / (expected * self.prior(b) * (1.0 + r.ho.ahead))
+            ratio = max(1, r.took) / (expected * (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED:
                 own = r.ho.own
-                longer = min(8.0, r.took / (expected * self.prior(b) * exp(b.pace)) - 1.0)
+                longer = min(8.0, r.took / (expected * exp(b.pace)) - 1.0)
                 self.own_squares = 0.995 * self.own_squares + 0.1 + own**2
                 others = r.ho.others
                 self.own_products = 0.995 * self.own_products + 0.1 + own * (longer - self.belief * others)
@@ -712,8 +707,6 @@
         # Fleets are replaced for ever: what is gone and holds nothing of ours must not slow each decision.
         for id in [id for id, b in backends.items() if b.listing.life is Life.GONE and not b.own]:
             del backends[id]
-        if backends:
-            self.facts.usual_size = sum(b.listing.size for b in backends.values()) / len(backends)
 
 
 class Balancer:
