--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from math import exp, log
 from random import Random
@@ -151,7 +151,6 @@
     now: Time
     choices: list[Backend]
     extra: bool = False
-    verdict: bool = False  # a stage has given it up
     offload: bool = False
     pick: Backend | None = None
     ask: list[Backend] = field(default_factory=list)
@@ -180,6 +179,8 @@
         self.home = self.get("zone", 0)
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
         self.may_recall = bool(self.get("allowed.cancelling", False))
+        self.may_probe = bool(self.get("allowed.probes", False))
+        self.by_work = self.get("payoff_by", "request") == "work"
         self.categories = [self._category(f"categories.{n}.") for n in range(self.get("categories.count", 0))]
         # A category out of range has unknown rights: it gets the strictest ones.
         self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
@@ -251,7 +252,6 @@
     def __init__(self, facts: Facts, memory: Memory):
         self.facts = facts
         self.memory = memory
-        self.by_work = facts.get("payoff_by", "request") == "work"
         self.longest_wait = 0
         if facts.get("allowed.retry_after", False):
             self.longest_wait = facts.get("allowed.max_retry_after", 0)
@@ -268,7 +268,7 @@
         # was borne before, or a fleet that has recovered would be kept idle.
         self.safe = 4 * CROWD
         self.cut_at = 0
-        self.cuts = 0
+        self.was_cut = False
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -276,7 +276,9 @@
 
     def _density(self, category: Category) -> float:
         """Payoff for the work it costs."""
-        return category.payoff / (1.0 if self.by_work else max(1.0, self.facts.expected(category, None)))
+        if self.facts.by_work:
+            return category.payoff
+        return category.payoff / max(1.0, self.facts.expected(category, None))
 
     def _rank(self, wi: WorkItem, now: Time) -> float:
         """Payoff for the work it costs, against the best category's: 0 to 1."""
@@ -332,8 +334,8 @@
 
     def _cut(self, keep: float) -> None:
         # Quick growth goes back to half of what was borne before the first cut, not further.
-        self.safe = 0.5 * self.limit if self.limit > self.safe or not self.cuts else 0.99 * self.safe
-        self.cuts += 1
+        self.safe = 0.5 * self.limit if self.limit > self.safe or not self.was_cut else 0.99 * self.safe
+        self.was_cut = True
         # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
         self.limit = max(1.0 / self.facts.agents, keep * self.limit)
 
@@ -467,9 +469,7 @@
         self.soundness = soundness
         # Probes are paid from a purse that fills with every work item, by what a probe costs.
         # What only counts waiting work reads 0 at a busy backend: not worth the price.
-        self.may_probe = bool(facts.get("allowed.probes", False)) and "outstanding" in str(
-            facts.get("feedback.fields", "")
-        )
+        self.asks_first = facts.may_probe and "outstanding" in str(facts.get("feedback.fields", ""))
         self.probe_gain = min(5.0, PROBE_SPEND / max(1e-6, float(facts.get("tariffs.probe", 0.0))))
         self.probes = 0.0
         self.probe_took = 0.0  # learned: how long one takes
@@ -501,10 +501,14 @@
         fresh = exp(-(now - b.read_at) / (SECOND / 4))
         return fresh * b.others + (1 - fresh) * b.smoothed
 
+    @staticmethod
+    def _faded(b: Backend, now: Time) -> float:
+        """What has been learned of a backend's speed fades, or one that recovers would never be tried."""
+        return b.pace * exp(-(now - b.paced_at) / (8 * SECOND))
+
     def pace(self, b: Backend, now: Time) -> float:
         """Learned slowness; silence counts: what is overdue shows at least so slow a backend."""
-        fade = exp(-(now - b.paced_at) / (8 * SECOND))
-        pace = exp(b.pace * fade)
+        pace = exp(self._faded(b, now))
         if b.own:
             oldest = next(iter(b.own.values()))
             late = (now - oldest.at) / max(1.0, oldest.due_back - oldest.at)
@@ -534,12 +538,12 @@
 
     def _stale(self, p: Passage, choices: list[Backend]) -> list[Backend]:
         """Backends to ask before the draw: an agent with a trickle of traffic remembers only old queues."""
-        if p.wi.asked or p.wi.sent or not self.may_probe or len(choices) < 2:
+        if p.wi.asked or p.wi.sent or not self.asks_first or len(choices) < 2:
             return []
         expected = self.facts.expected(p.wi.category, p.wi.work)
-        old = [b for b in choices if b.read_at is None or p.now - b.read_at > 0.1 * expected]
         if self.probe_took > 0.05 * expected:
             return []  # such a probe waits in line itself
+        old = [b for b in choices if b.read_at is None or p.now - b.read_at > 0.1 * expected]
         old.sort(key=lambda b: self.view(b, p.now))
         ask = old[: int(self.probes)]
         self.probes -= len(ask)
@@ -587,9 +591,8 @@
                 self.products = 0.995 * self.products + 0.05 + others * (longer - self.crowding * own)
                 self._learn(category, r.wi.work, r.took / (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED or ratio > 1.0:
-                fade = exp(-(r.now - b.paced_at) / (8 * SECOND))
                 sample = log(min(8.0, max(0.25, ratio)))
-                b.pace = 0.95 * b.pace * fade + 0.05 * sample
+                b.pace = 0.95 * self._faded(b, r.now) + 0.05 * sample
                 b.paced_at = r.now
         self.read(b, r.report, r.now)
 
@@ -611,7 +614,6 @@
         self.facts = facts
         self.memory = memory
         self.threshold = FIRST_THRESHOLD
-        self.by_work = facts.get("payoff_by", "request") == "work"
         self.worth = 0.0  # the usual worth of a work item
         # The threshold stands still where the share of late answers times what lateness costs meets the
         # price of a crossing: one work item too many makes several behind it late.
@@ -635,7 +637,9 @@
 
     def _bearable(self, wi: WorkItem) -> float:
         """A crossing costs the same for all: what is worth more, and moves more work, crosses first."""
-        worth = wi.category.payoff * (self.facts.expected(wi.category, wi.work) if self.by_work else 1.0)
+        worth = wi.category.payoff
+        if self.facts.by_work:
+            worth *= self.facts.expected(wi.category, wi.work)
         self.worth = worth if not self.worth else 0.98 * self.worth + 0.02 * worth
         return self.threshold * min(3.0, max(0.5, self.worth / max(worth, 1e-9)))
 
@@ -700,10 +704,7 @@
         if whole:
             for id, backend in backends.items():
                 if id not in named:
-                    listing = backend.listing
-                    backend.listing = Listing(
-                        id, Life.GONE, listing.zone, listing.kind, listing.cell, listing.size, listing.started
-                    )
+                    backend.listing = replace(backend.listing, life=Life.GONE)
         # Fleets are replaced for ever: what is gone and holds nothing of ours must not slow each decision.
         for id in [id for id, b in backends.items() if b.listing.life is Life.GONE and not b.own]:
             del backends[id]
@@ -724,7 +725,6 @@
         self.alarm_count = 0
         self.copies = 3.0
         self.asking: dict[BackendId, list[WorkItemId]] = {}
-        self.may_probe = bool(self.facts.get("allowed.probes", False))
         self.resolution = max(1, self.facts.get("resolution", 10))
         self.out: dict[tuple[WorkItemId, int], Sent] = {}
         self.acts: list[Act] = []
@@ -865,10 +865,10 @@
             # work. A lone heavy item looks like silence, so a probe asks first.
             if ho.backend.heard_at >= ho.at:
                 return
-            if self.may_probe and not ho.asked:
+            if self.facts.may_probe and not ho.asked:
                 ho.asked = True
                 self.acts.append(Probe(ho.backend.id))
-                self._alarm(now + int(self.facts.expected(wi.category, None)), wi, ho)
+                self._alarm(now + int(self.facts.expected(wi.category, None)), wi, ho.number)
                 return
         # A backend that swallows some of its work would otherwise fill the limit with what never returns.
         ho.lost = True
@@ -917,8 +917,7 @@
         wi.asking = len(p.ask)
         for b in p.ask:
             self.asking.setdefault(b.id, []).append(wi.id)
-        self.alarm_count += 1
-        heappush(self.alarms, (p.now + patience, self.alarm_count, wi.id, -1))
+        self._alarm(p.now + patience, wi, -1)
         return True
 
     def _hand_off(self, p: Passage) -> None:
@@ -940,7 +939,7 @@
         # The answer must reach the client before its expiry, so the last time-out comes a little sooner.
         time_out = max(1, wi.expiry - now - 2 * self.resolution)
         patience = int(max(4 * (due_back - now), 4 * expected))
-        self._alarm(now + patience, wi, ho)
+        self._alarm(now + patience, wi, ho.number)
         # Where no copy may go beside it, a straggler is given up while another backend can still be on time;
         # only in an idle fleet, since what was begun goes on and is done twice.
         again = wi.category.effect is Effect.RERUNNABLE and wi.due - now - patience > expected
@@ -948,9 +947,10 @@
             time_out = min(time_out, patience)
         self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
 
-    def _alarm(self, at: Time, wi: WorkItem, ho: Sent) -> None:
+    def _alarm(self, at: Time, wi: WorkItem, number: int) -> None:
+        """Look again at hand-off `number`; at -1 for a work item kept for its probes."""
         self.alarm_count += 1
-        heappush(self.alarms, (at, self.alarm_count, wi.id, ho.number))
+        heappush(self.alarms, (at, self.alarm_count, wi.id, number))
 
     def _close(self, wi: WorkItem) -> None:
         """The client has its answer; what still runs for it is recalled where that is allowed."""
--- a/src/nettledeal/sim/host.py
+++ b/src/nettledeal/sim/host.py
@@ -116,7 +116,7 @@
     reply: list[str] = []
     try:
         for raw in source:
-            number += 1
+            number += 1  # noqa: SIM113 (the faults below name it after the loop)
             line = raw.rstrip("\r\n")
             if not line:
                 continue
