--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from math import exp, log
@@ -47,6 +48,8 @@
 CROWD = 6.0
 # Points of the result, as a fraction, that probing before draws may cost.
 PROBE_SPEND = 0.01
+# Backends looked at in one decision, at home and as many away: beyond a dozen, chance finds one as good.
+SAMPLE = 12
 
 
 class Ring:
@@ -139,7 +142,7 @@
     distrust: float = 0.0
     distrust_at: Time = 0
     heard_at: Time = -1  # when anything last came back
-    tally: Ring = field(default_factory=lambda: Ring(4 * SECOND, 2, 8))
+    tally: Ring | None = None
     budget: Ring | None = None
 
 
@@ -149,7 +152,7 @@
 
     wi: WorkItem
     now: Time
-    choices: list[Backend]
+    choices: list[Backend] = field(default_factory=list)
     extra: bool = False
     offload: bool = False
     pick: Backend | None = None
@@ -175,6 +178,11 @@
         self.settings = settings
         self.chance = Random(seed)
         self.backends: dict[BackendId, Backend] = {}
+        # Those that run, by where they stand; a decision looks at a sample of each, or its cost would
+        # grow with the fleet.
+        self.near: list[Backend] = []
+        self.far: list[Backend] = []
+        self.recent: deque[Backend] = deque(maxlen=SAMPLE // 2)  # heard from last
         self.agents = max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
@@ -189,6 +197,35 @@
     def get(self, name: str, default):
         return self.settings.get(name, default)
 
+    @property
+    def running(self) -> int:
+        return len(self.near) + len(self.far)
+
+    def regroup(self) -> None:
+        running = [b for b in self.backends.values() if b.listing.life is Life.RUNNING]
+        self.near = [b for b in running if b.listing.zone == self.home]
+        self.far = [b for b in running if b.listing.zone != self.home]
+
+    def heard(self, b: Backend) -> None:
+        if b in self.recent:
+            self.recent.remove(b)
+        self.recent.append(b)
+
+    def sample(self, fits: Callable[[Backend], bool]) -> list[Backend]:
+        """Some backends of home and of elsewhere: those heard from last, and others by chance."""
+        found: list[Backend] = []
+        for group, home in ((self.near, True), (self.far, False)):
+            some = [b for b in self.recent if (b.listing.zone == self.home) is home and fits(b)]
+            some = [b for b in some if b.listing.life is Life.RUNNING and self.backends.get(b.id) is b]
+            # Few may fit: a ticket bound to one cell, half a fleet drained. One wider look follows, no more.
+            for width in (SAMPLE, 4 * SAMPLE):
+                if width == SAMPLE or len(some) < min(len(group), SAMPLE // 3):
+                    drawn = self.chance.sample(group, min(len(group), width))
+                    some += [b for b in drawn if b not in some and fits(b)]
+            del some[SAMPLE:]
+            found += some
+        return found
+
     def _category(self, prefix: str) -> Category:
         return Category(
             due=self.get(prefix + "due_time", 0),
@@ -298,7 +335,8 @@
             return True
         rank = self._rank(wi, p.now)
         # Backends still cold, or distrusted, add only what they bear: half a fleet replaced is no fleet.
-        room = self.limit * sum(self.memory.worthy(b, p.now) for b in p.choices)
+        share = self.facts.running / len(p.choices)
+        room = self.limit * share * sum(self.memory.worthy(b, p.now) for b in p.choices)
         if self.facts.open > 1 and self.facts.open >= room * (0.4 + 0.6 * rank):
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
@@ -328,7 +366,7 @@
         elif self.slowdown > bearable:
             self._cut(0.97)
         else:
-            sound = max(1, sum(b.listing.life is Life.RUNNING for b in self.facts.backends.values()))
+            sound = max(1, self.facts.running)
             if self.facts.open >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
@@ -353,10 +391,6 @@
     def __init__(self, facts: Facts):
         self.facts = facts
 
-    def out(self, p: Passage) -> bool:
-        p.choices = [b for b in p.choices if self.allows(p.wi, b, p.now)]
-        return bool(p.choices)
-
     def allows(self, wi: WorkItem, backend: Backend, now: Time) -> bool:
         if wi.open and not self.facts.may_copy:
             return False
@@ -390,6 +424,7 @@
         self.warm_within = max(1, facts.get("rules.warm_within", 30 * SECOND))
         self.median = 0.0
         self.median_at = -SECOND
+        self.judged: dict[BackendId, tuple[Backend, Time]] = {}  # of late, the oldest first
 
     def capacity(self, backend: Backend, now: Time) -> float:
         started = backend.listing.started
@@ -412,10 +447,6 @@
         cost = self.facts.expected(wi.category, wi.work)
         return (spent + cost <= limit or not spent) and len(backend.own) < 3
 
-    def out(self, p: Passage) -> bool:
-        p.choices = [b for b in p.choices if self.allows(p.wi, b, p.now)]
-        return bool(p.choices)
-
     def sent(self, p: Passage) -> None:
         backend = p.pick
         if self.capacity(backend, p.now) < 1.0:
@@ -424,12 +455,16 @@
             backend.budget.add(p.now, 0, self.facts.expected(p.wi.category, p.wi.work))
 
     def _median(self, now: Time) -> float:
+        """Over the whole fleet; backends not judged of late have failed nothing and need no look."""
         if now - self.median_at >= SECOND // 4:
             self.median_at = now
-            shares = sorted(
-                self._share(b, now) for b in self.facts.backends.values() if b.listing.life is Life.RUNNING
-            )
-            self.median = shares[len(shares) // 2] if shares else 0.0
+            for id, (_, at) in list(self.judged.items()):
+                if now - at < 4 * SECOND:
+                    break
+                del self.judged[id]
+            shares = sorted((self._share(b, now) for b, _ in self.judged.values()), reverse=True)
+            middle = self.facts.running - self.facts.running // 2 - 1
+            self.median = shares[middle] if middle < len(shares) else 0.0
         return self.median
 
     @staticmethod
@@ -439,6 +474,8 @@
     @staticmethod
     def distrust(backend: Backend, now: Time) -> float:
         """Fades by half every 1.5 s, so that one trial soon finds a backend that has recovered."""
+        if not backend.distrust:
+            return 0.0
         return backend.distrust * 0.5 ** ((now - backend.distrust_at) / (1.5 * SECOND))
 
     def back(self, r: Return) -> None:
@@ -448,7 +485,11 @@
             self.judge(r.ho.backend, r.outcome is not Outcome.FINISHED, r.now)
 
     def judge(self, backend: Backend, failed: bool, now: Time) -> None:
+        if backend.tally is None:
+            backend.tally = Ring(4 * SECOND, 2, 8)
         backend.tally.add(now, 0, 1.0)
+        self.judged.pop(backend.id, None)
+        self.judged[backend.id] = backend, now
         level = self.distrust(backend, now)
         if failed:
             backend.tally.add(now, 1, 1.0)
@@ -504,7 +545,7 @@
     @staticmethod
     def _faded(b: Backend, now: Time) -> float:
         """What has been learned of a backend's speed fades, or one that recovers would never be tried."""
-        return b.pace * exp(-(now - b.paced_at) / (8 * SECOND))
+        return b.pace and b.pace * exp(-(now - b.paced_at) / (8 * SECOND))
 
     def pace(self, b: Backend, now: Time) -> float:
         """Learned slowness; silence counts: what is overdue shows at least so slow a backend."""
@@ -544,6 +585,8 @@
         if self.probe_took > 0.05 * expected:
             return []  # such a probe waits in line itself
         old = [b for b in choices if b.read_at is None or p.now - b.read_at > 0.1 * expected]
+        # In the order of a sample: agents that know equally little would else all ask the same few.
+        self.facts.chance.shuffle(old)
         old.sort(key=lambda b: self.view(b, p.now))
         ask = old[: int(self.probes)]
         self.probes -= len(ask)
@@ -567,6 +610,7 @@
             keep = HISTORY ** max(1.0, (now - b.read_at) / SECOND)
             b.smoothed = keep * b.smoothed + (1 - keep) * others
         b.others, b.read_at, b.own_since, b.pinned = others, now, 0, None
+        self.facts.heard(b)
 
     def back(self, r: Return, threshold: float) -> None:
         b = r.ho.backend
@@ -708,6 +752,7 @@
         # Fleets are replaced for ever: what is gone and holds nothing of ours must not slow each decision.
         for id in [id for id, b in backends.items() if b.listing.life is Life.GONE and not b.own]:
             del backends[id]
+        self.facts.regroup()
 
 
 class Balancer:
@@ -720,7 +765,7 @@
         self.repeats = Repeats(self.facts)
         self.zoning = Zoning(self.facts, self.memory)
         self.roster_keeper = Roster(self.facts, now)
-        self.stages = (self.ledger, self.admission, self.repeats, self.soundness, self.zoning, self.memory)
+        self.stages = (self.ledger, self.admission, self.zoning, self.memory)
         self.alarms: list[tuple[Time, int, WorkItemId, int]] = []
         self.alarm_count = 0
         self.copies = 3.0
@@ -884,10 +929,13 @@
     # Out through the stages.
 
     def _route(self, wi: WorkItem, now: Time, extra: bool = False) -> None:
-        running = [b for b in self.facts.backends.values() if b.listing.life is Life.RUNNING]
-        p = Passage(wi, now, running, extra)
-        if extra:
-            p.choices = [b for b in p.choices if all(ho.backend is not b for ho in wi.sent)]
+        p = Passage(wi, now, extra=extra)
+        # What the effect allows and what is sound goes into the look around, so that a sample has both.
+        p.choices = self.facts.sample(
+            lambda b: self.repeats.allows(wi, b, now)
+            and self.soundness.allows(wi, b, now)
+            and not (extra and any(ho.backend is b for ho in wi.sent))
+        )
         if all(stage.out(p) for stage in self.stages) and self._legal(p):
             if p.ask and self._ask(p):
                 return
