Speed pooled by kind, queues by zone, and a draw as sharp as its memory is worth

An agent with a few work items a second never learned them one by one, and the draw was as sharp on stale memory as on fresh.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -44,6 +44,11 @@
 # How strongly the draw favours short queues. Agents that cannot see each other crowd a backend that all
 # of them like a little; one that all like much fills in own hand-offs first, so a sharp draw is safe.
 SHARPNESS = 12.0
+# The same for a backend of which only its kind is known: somewhat more than its share of speed.
+BLUNT = 3.0
+# How long what was learned of one backend counts against what is usual, and how long the draw trusts it.
+STALE = 8 * SECOND
+KNOWN = 2 * SECOND
 # Work items at a backend beyond which more of them only wait: several times what keeps it busy.
 CROWD = 6.0
 # Points of the result, as a fraction, that probing before draws may cost.
@@ -75,6 +80,26 @@
         )
 
 
+@dataclass(slots=True)
+class Trend:
+    """What many backends have in common, from whichever of them answers."""
+
+    value: float = 0.0
+    at: Time = 0
+    seen: float = 0.0
+
+    def learn(self, sample: float, now: Time, span: float, least: float) -> None:
+        """Moves by the time since the last sample, or an agent that hears little would learn too slowly."""
+        self.seen += 1.0
+        # Shrunk towards nothing known while samples are few.
+        gain = max(least, 1.0 / (self.seen + 4.0), 1.0 - exp(-(now - self.at) / span))
+        self.value += min(gain, 0.5) * (sample - self.value)
+        self.at = now
+
+    def faded(self, now: Time, span: float) -> float:
+        return self.value and self.value * exp(-(now - self.at) / span)
+
+
 @dataclass(slots=True)
 class Category:
     due: Time
@@ -521,6 +546,10 @@
         # on others for most of their time.
         self.own_squares = 20.0
         self.own_products = 20.0
+        # Pooled, so that a backend never used, or long ago, is guessed well: how slow its kind is, and how
+        # long queues are in its zone.
+        self.kinds: dict[int, Trend] = {}
+        self.zones: dict[int, Trend] = {}
 
     @property
     def belief(self) -> float:
@@ -537,15 +566,25 @@
         return self.crowding * len(b.own) + self.belief * self.others(b, now)
 
     def others(self, b: Backend, now: Time) -> float:
+        usual = self.zones[b.listing.zone].faded(now, STALE) if b.listing.zone in self.zones else 0.0
         if b.read_at is None:
-            return b.smoothed
-        fresh = exp(-(now - b.read_at) / (SECOND / 4))
-        return fresh * b.others + (1 - fresh) * b.smoothed
+            return usual
+        age = now - b.read_at
+        fresh = exp(-age / (SECOND / 4))
+        known = exp(-age / STALE)
+        return fresh * b.others + (1 - fresh) * (known * b.smoothed + (1 - known) * usual)
+
+    def known(self, b: Backend, now: Time) -> float:
+        """How much the memory of a backend is worth: 1 when fresh, 0 when never heard from."""
+        if b.pinned is not None:
+            return 1.0
+        return 0.0 if b.read_at is None else exp(-(now - b.read_at) / KNOWN)
 
-    @staticmethod
-    def _faded(b: Backend, now: Time) -> float:
-        """What has been learned of a backend's speed fades, or one that recovers would never be tried."""
-        return b.pace and b.pace * exp(-(now - b.paced_at) / (8 * SECOND))
+    def _faded(self, b: Backend, now: Time) -> float:
+        """What has been learned of a backend's speed fades to its kind's, or one that recovers would never
+        be tried."""
+        kind = self.kinds.get(b.listing.kind)
+        return (kind.value if kind else 0.0) + (b.pace and b.pace * exp(-(now - b.paced_at) / STALE))
 
     def pace(self, b: Backend, now: Time) -> float:
         """Learned slowness; silence counts: what is overdue shows at least so slow a backend."""
@@ -573,7 +612,13 @@
             fresh = [b for b in choices if b not in used]
             choices = fresh or choices
         p.ask = self._stale(p, choices)
-        weights = [self.view(b, p.now) ** -SHARPNESS for b in choices]
+        views = [log(self.view(b, p.now)) for b in choices]
+        mean = sum(views) / len(views)
+        # As sharp as the memory is worth: agents that know equally little must not all like the same few.
+        weights = [
+            exp((BLUNT + (SHARPNESS - BLUNT) * self.known(b, p.now)) * max(-4.0, min(4.0, mean - view)))
+            for b, view in zip(choices, views, strict=True)
+        ]
         p.pick = self.facts.chance.choices(choices, weights)[0]
         return True
 
@@ -609,6 +654,8 @@
         else:
             keep = HISTORY ** max(1.0, (now - b.read_at) / SECOND)
             b.smoothed = keep * b.smoothed + (1 - keep) * others
+        usual = self.zones.setdefault(b.listing.zone, Trend(others, now))
+        usual.learn(others, now, SECOND / -log(HISTORY), 0.05)
         b.others, b.read_at, b.own_since, b.pinned = others, now, 0, None
         self.facts.heard(b)
 
@@ -627,7 +674,7 @@
             ratio = max(1, r.took) / (expected * (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED:
                 own = r.ho.own
-                longer = min(8.0, r.took / (expected * exp(b.pace)) - 1.0)
+                longer = min(8.0, r.took / (expected * exp(self._faded(b, r.now))) - 1.0)
                 self.own_squares = 0.995 * self.own_squares + 0.1 + own**2
                 others = r.ho.others
                 self.own_products = 0.995 * self.own_products + 0.1 + own * (longer - self.belief * others)
@@ -636,8 +683,13 @@
                 self._learn(category, r.wi.work, r.took / (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED or ratio > 1.0:
                 sample = log(min(8.0, max(0.25, ratio)))
-                b.pace = 0.95 * self._faded(b, r.now) + 0.05 * sample
+                kind = self.kinds.setdefault(b.listing.kind, Trend(0.0, r.now))
+                # Of a backend heard from rarely each answer must say more.
+                old = exp(-(r.now - b.paced_at) / STALE)
+                gain = max(0.05, 0.5 * (1.0 - old))
+                b.pace = (1 - gain) * b.pace * old + gain * (sample - kind.value)
                 b.paced_at = r.now
+                kind.learn(sample, r.now, 20 * SECOND, 0.01)
         self.read(b, r.report, r.now)
 
     @staticmethod
