--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -51,6 +51,8 @@
 KNOWN = 2 * SECOND
 # Work items at a backend beyond which more of them only wait: several times what keeps it busy.
 CROWD = 6.0
+# Answers of a category from which its usual time is known.
+LEARNED = 20
 # Points of the result, as a fraction, that probing before draws may cost.
 PROBE_SPEND = 0.01
 # Backends looked at in one decision, at home and as many away: beyond a dozen, chance finds one as good.
@@ -697,7 +699,7 @@
         category.seen += 1
         gain = max(0.02, 1.0 / category.seen)
         # Rises slower than it falls, or a jam would soon pass for the usual.
-        rise = gain if category.seen < 20 or alone < category.base else 0.25 * gain
+        rise = gain if category.seen < LEARNED or alone < category.base else 0.25 * gain
         category.base = category.base + rise * (alone - category.base)
         if work:
             category.work = category.work + gain * (work - category.work)
@@ -1042,7 +1044,9 @@
         self._alarm(now + patience, wi, ho.number)
         # Where no copy may go beside it, a straggler is given up while another backend can still be on time;
         # only in an idle fleet, since what was begun goes on and is done twice.
+        # What is usual must be known first, or all that is heavier than a guess is begun twice.
         again = wi.category.effect is Effect.RERUNNABLE and wi.due - now - patience > expected
+        again = again and wi.category.seen >= LEARNED
         if again and not self.facts.may_copy and len(wi.sent) < 2 and self.admission.slowdown < 1.5:
             time_out = min(time_out, patience)
         self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
