--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -220,10 +220,18 @@
         # A category out of range has unknown rights: it gets the strictest ones.
         self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
         self.open = 0  # hand-offs out now
+        self.mean_open = 0.0  # and over the last seconds
+        self.open_at = 0
 
     def get(self, name: str, default):
         return self.settings.get(name, default)
 
+    def count_open(self, now: Time, change: int = 0) -> None:
+        old = exp(-(now - self.open_at) / (4 * SECOND))
+        self.mean_open = old * self.mean_open + (1 - old) * self.open
+        self.open_at = now
+        self.open += change
+
     @property
     def running(self) -> int:
         return len(self.near) + len(self.far)
@@ -328,6 +336,7 @@
         # crowds a backend: all agents may start at once, each seeing idle backends.
         self.limit = CROWD / facts.agents
         self.slowdown = 1.0
+        self.learned_at = 0
         # Up to here the limit doubles with each round of answers: till the first cut, and to half of what
         # was borne before, or a fleet that has recovered would be kept idle.
         self.safe = 4 * CROWD
@@ -364,7 +373,11 @@
         # Backends still cold, or distrusted, add only what they bear: half a fleet replaced is no fleet.
         share = self.facts.running / len(p.choices)
         room = self.limit * share * sum(self.memory.worthy(b, p.now) for b in p.choices)
-        if self.facts.open > 1 and self.facts.open >= room * (0.4 + 0.6 * rank):
+        room *= 0.4 + 0.6 * rank
+        # With hundreds of agents a share is a fraction of one work item: it is then taken by time, as so
+        # many on average, or the one that each may always have would add up to several times the whole.
+        self.facts.count_open(p.now)
+        if self.facts.open > 1 and self.facts.open >= room or room < 1.0 and self.facts.mean_open >= room:
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
@@ -384,17 +397,20 @@
         category = r.wi.category
         expected = self.facts.expected(category, r.wi.work)
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
-        self.slowdown += 0.05 * (sample - self.slowdown)
+        # By the time gone by: what an agent with a trickle of answers learns must not come too late.
+        since = min(1.0, (r.now - self.learned_at) / SECOND)
+        self.learned_at = r.now
+        self.slowdown += max(0.05, 0.5 * since) * (sample - self.slowdown)
         bearable = min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected)
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
             self._cut(0.5)
         elif self.slowdown > bearable:
-            self._cut(0.97)
+            self._cut(min(0.97, 0.6**since))
         else:
             sound = max(1, self.facts.running)
-            if self.facts.open >= 0.5 * self.limit * sound:
+            if max(self.facts.open, self.facts.mean_open) >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
     def _cut(self, keep: float) -> None:
@@ -885,7 +901,7 @@
         if ho is None:
             return self._step(now)
         ho.outcome = outcome
-        self.facts.open -= not ho.lost
+        self.facts.count_open(now, -1 if not ho.lost else 0)
         wi = self.ledger.open.get(id)
         r = Return(wi, ho, outcome, took, report, now)
         self.admission.back(r)
@@ -971,7 +987,7 @@
                 return
         # A backend that swallows some of its work would otherwise fill the limit with what never returns.
         ho.lost = True
-        self.facts.open -= 1
+        self.facts.count_open(now, -1)
         self.soundness.judge(ho.backend, True, now)
         if wi.due - now <= self.facts.expected(wi.category, wi.work) or len(wi.sent) != ho.number + 1:
             return
@@ -1033,7 +1049,7 @@
         wi.sent.append(ho)
         self.out[(wi.id, ho.number)] = ho
         wi.open += 1
-        self.facts.open += 1
+        self.facts.count_open(now, 1)
         self.memory.sent(p, ho)
         self.soundness.sent(p)
         if p.extra:
