--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -400,14 +400,14 @@
         # By the time gone by: what an agent with a trickle of answers learns must not come too late.
         since = min(1.0, (r.now - self.learned_at) / SECOND)
         self.learned_at = r.now
-        self.slowdown += max(0.05, 0.5 * since) * (sample - self.slowdown)
+        self.slowdown += max(0.05, 0.15 * since) * (sample - self.slowdown)
         bearable = min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected)
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
             self._cut(0.5)
         elif self.slowdown > bearable:
-            self._cut(min(0.97, 0.6**since))
+            self._cut(min(0.97, 0.8**since))
         else:
             sound = max(1, self.facts.running)
             if max(self.facts.open, self.facts.mean_open) >= 0.5 * self.limit * sound:
