--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -3,15 +3,15 @@
 One `Balancer` serves one agent. Its host calls `start` once, then `take`, `returned`, `roster`,
 `roster_failed`, `withdrawn`, `probed`, `streaming` and `wake` as things happen, each with the time
 now. Each call gives a `Step`: acts to carry out at once, in order, and the time of the next `wake`.
-The types are in `model.py`; times are whole tenths of a millisecond. No clock, no I/O, no globals:
-the same calls give the same steps.
+The types are in `model.py`, its own notes in `records.py`; times are whole tenths of a millisecond.
+No clock, no I/O, no globals: the same calls give the same steps.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from math import exp, log
 from random import Random
@@ -35,6 +35,8 @@
     Verdict,
     WorkItemId,
 )
+from nettledeal.records import Backend, Category, Passage, Return, Sent, WorkItem
+from nettledeal.ring import Ring
 
 SECOND = 10_000
 # The design's smoothing: how much of the remembered queue survives a new reading or a silent second.
@@ -59,29 +61,6 @@
 SAMPLE = 12
 
 
-class Ring:
-    """Sums over the last `span`, in buckets of time that are used again."""
-
-    def __init__(self, span: Time, width: int, buckets: int = 10):
-        self.step = max(1, -(-span // buckets))
-        self.rows = [[0.0] * width for _ in range(buckets + 1)]
-        self.stamps = [-1] * (buckets + 1)
-
-    def add(self, now: Time, column: int, amount: float) -> None:
-        stamp = now // self.step
-        slot = stamp % len(self.rows)
-        if self.stamps[slot] != stamp:
-            self.stamps[slot] = stamp
-            self.rows[slot] = [0.0] * len(self.rows[slot])
-        self.rows[slot][column] += amount
-
-    def total(self, now: Time, column: int) -> float:
-        oldest = now // self.step - len(self.rows) + 1
-        return sum(
-            row[column] for row, stamp in zip(self.rows, self.stamps, strict=True) if stamp >= oldest
-        )
-
-
 @dataclass(slots=True)
 class Trend:
     """What many backends have in common, from whichever of them answers."""
@@ -102,102 +81,6 @@
         return self.value and self.value * exp(-(now - self.at) / span)
 
 
-@dataclass(slots=True)
-class Category:
-    due: Time
-    expiry: Time
-    payoff: float
-    late_payoff: float
-    stretch: float
-    effect: Effect
-    group: Group
-    window: Time
-    usual: Time = 0  # learned: how long a first try may wait
-    base: float = 0.0  # learned: time an answer takes with nothing ahead of it
-    seen: int = 0
-    work: float = 0.0  # learned: mean hint
-
-
-@dataclass(slots=True)
-class Sent:
-    """A hand-off as the ledger remembers it."""
-
-    number: int
-    backend: Backend
-    at: Time
-    due_back: Time
-    ahead: float
-    own: int
-    others: float
-    offload: bool
-    outcome: Outcome | None = None
-    asked: bool = False
-    lost: bool = False
-
-
-@dataclass(slots=True)
-class WorkItem:
-    id: WorkItemId
-    category: Category
-    taken: Time
-    due: Time
-    expiry: Time
-    customer: int
-    work: float | None
-    again: bool
-    sent: list[Sent] = field(default_factory=list)
-    open: int = 0
-    must_home: bool = False
-    asking: int = 0  # probes out for its draw
-    asked: bool = False
-    streaming: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Backend:
-    id: BackendId
-    listing: Listing
-    known: bool
-    others: float = 0.0  # work items of other agents at the last reading
-    smoothed: float = 0.0
-    read_at: Time | None = None
-    own_since: int = 0
-    own: dict[tuple[WorkItemId, int], Sent] = field(default_factory=dict)
-    pinned: float | None = None
-    pace: float = 0.0  # log of the learned slowness
-    paced_at: Time = 0
-    distrust: float = 0.0
-    distrust_at: Time = 0
-    heard_at: Time = -1  # when anything last came back
-    tally: Ring | None = None
-    budget: Ring | None = None
-
-
-@dataclass(slots=True)
-class Passage:
-    """A work item on its way out through the stages."""
-
-    wi: WorkItem
-    now: Time
-    choices: list[Backend] = field(default_factory=list)
-    extra: bool = False
-    offload: bool = False
-    pick: Backend | None = None
-    ask: list[Backend] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class Return:
-    """An outcome on its way back."""
-
-    wi: WorkItem | None
-    ho: Sent
-    outcome: Outcome
-    took: Time
-    report: Report
-    now: Time
-
-
 class Facts:
     """What the stages share: the settings, the chance, the categories and the backends heard of."""
 
@@ -850,16 +733,8 @@
         return self._step(now)
 
     def take(
-        self,
-        now: Time,
-        id: WorkItemId,
-        category: int,
-        expiry: Time,
-        *,
-        customer: int = 0,
-        key: str | None = None,
-        work: float | None = None,
-        again: bool = False,
+        self, now: Time, id: WorkItemId, category: int, expiry: Time, *, customer: int = 0,
+        key: str | None = None, work: float | None = None, again: bool = False,
     ) -> Step:
         kind = self.facts.category(category)
         due = expiry
@@ -887,14 +762,7 @@
         return now
 
     def returned(
-        self,
-        now: Time,
-        id: WorkItemId,
-        number: int,
-        outcome: Outcome,
-        took: Time,
-        *,
-        closed: bool,
+        self, now: Time, id: WorkItemId, number: int, outcome: Outcome, took: Time, *, closed: bool,
         report: Report,
     ) -> Step:
         ho = self._forget(id, number)
--- /dev/null
+++ b/src/nettledeal/records.py
@@ -0,0 +1,104 @@
+"""What the stages write down about work items, hand-offs and backends. Nothing is decided here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from nettledeal.model import BackendId, Effect, Group, Listing, Outcome, Report, Time, WorkItemId
+from nettledeal.ring import Ring
+
+
+@dataclass(slots=True)
+class Category:
+    due: Time
+    expiry: Time
+    payoff: float
+    late_payoff: float
+    stretch: float
+    effect: Effect
+    group: Group
+    window: Time
+    usual: Time = 0  # learned: how long a first try may wait
+    base: float = 0.0  # learned: time an answer takes with nothing ahead of it
+    seen: int = 0
+    work: float = 0.0  # learned: mean hint
+
+
+@dataclass(slots=True)
+class Sent:
+    """A hand-off as the ledger remembers it."""
+
+    number: int
+    backend: Backend
+    at: Time
+    due_back: Time
+    ahead: float
+    own: int
+    others: float
+    offload: bool
+    outcome: Outcome | None = None
+    asked: bool = False
+    lost: bool = False
+
+
+@dataclass(slots=True)
+class WorkItem:
+    id: WorkItemId
+    category: Category
+    taken: Time
+    due: Time
+    expiry: Time
+    customer: int
+    work: float | None
+    again: bool
+    sent: list[Sent] = field(default_factory=list)
+    open: int = 0
+    must_home: bool = False
+    asking: int = 0  # probes out for its draw
+    asked: bool = False
+    streaming: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    id: BackendId
+    listing: Listing
+    known: bool
+    others: float = 0.0  # work items of other agents at the last reading
+    smoothed: float = 0.0
+    read_at: Time | None = None
+    own_since: int = 0
+    own: dict[tuple[WorkItemId, int], Sent] = field(default_factory=dict)
+    pinned: float | None = None
+    pace: float = 0.0  # log of the learned slowness
+    paced_at: Time = 0
+    distrust: float = 0.0
+    distrust_at: Time = 0
+    heard_at: Time = -1  # when anything last came back
+    tally: Ring | None = None
+    budget: Ring | None = None
+
+
+@dataclass(slots=True)
+class Passage:
+    """A work item on its way out through the stages."""
+
+    wi: WorkItem
+    now: Time
+    choices: list[Backend] = field(default_factory=list)
+    extra: bool = False
+    offload: bool = False
+    pick: Backend | None = None
+    ask: list[Backend] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Return:
+    """An outcome on its way back."""
+
+    wi: WorkItem | None
+    ho: Sent
+    outcome: Outcome
+    took: Time
+    report: Report
+    now: Time
