--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
+from hashlib import blake2b
 from heapq import heappop, heappush
 from math import exp, log
 from random import Random
@@ -55,12 +57,22 @@
 CROWD = 6.0
 # Answers of a category from which its usual time is known.
 LEARNED = 20
+# Marks of a backend on the circle of keys; how much a key's own backends are favoured while no longer than
+# others; own work items over which keys are counted.
+KEY_MARKS = 12
+KEY_PULL = 40.0
+KEYS_COUNTED = 100
 # Points of the result, as a fraction, that probing before draws may cost.
 PROBE_SPEND = 0.01
 # Backends looked at in one decision, at home and as many away: beyond a dozen, chance finds one as good.
 SAMPLE = 12
 
 
+def mark_of(text: str) -> int:
+    """The same at every agent and in every process, which Python's own hash is not."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest())
+
+
 @dataclass(slots=True)
 class Trend:
     """What many backends have in common, from whichever of them answers."""
@@ -92,6 +104,9 @@
         # grow with the fleet.
         self.near: list[Backend] = []
         self.far: list[Backend] = []
+        self.warm_keys = bool(self.get("family_info.warm_keys", False))
+        self.sized = self.get("weights", "silent") in ("nominal", "rough")
+        self.circle: list[tuple[int, Backend]] = []
         self.recent: deque[Backend] = deque(maxlen=SAMPLE // 2)  # heard from last
         self.agents = max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
@@ -123,18 +138,30 @@
         running = [b for b in self.backends.values() if b.listing.life is Life.RUNNING]
         self.near = [b for b in running if b.listing.zone == self.home]
         self.far = [b for b in running if b.listing.zone != self.home]
+        if self.warm_keys:
+            usual = sum(b.listing.size for b in self.near) / max(1, len(self.near))
+            for b in self.near:
+                # A larger backend keeps more keys; sizes that follow the load would move them all the time.
+                size = b.listing.size / usual if self.sized and usual > 0 else 1.0
+                wanted = int(KEY_MARKS * min(4.0, max(0.25, size)))
+                b.marks += [mark_of(f"{b.id} {n}") for n in range(len(b.marks), wanted)]
+                del b.marks[wanted:]
+            self.circle = sorted(((mark, b) for b in self.near for mark in b.marks), key=lambda at: at[0])
 
     def heard(self, b: Backend) -> None:
         if b in self.recent:
             self.recent.remove(b)
         self.recent.append(b)
 
-    def sample(self, fits: Callable[[Backend], bool]) -> list[Backend]:
-        """Some backends of home and of elsewhere: those heard from last, and others by chance."""
+    def sample(self, fits: Callable[[Backend], bool], favoured: list[Backend]) -> list[Backend]:
+        """Some backends of home and of elsewhere: favoured, heard from last, and others by chance."""
         found: list[Backend] = []
         for group, home in ((self.near, True), (self.far, False)):
-            some = [b for b in self.recent if (b.listing.zone == self.home) is home and fits(b)]
-            some = [b for b in some if b.listing.life is Life.RUNNING and self.backends.get(b.id) is b]
+            some = [b for b in favoured if fits(b)] if home else []
+            for b in self.recent:
+                here = (b.listing.zone == self.home) is home and self.backends.get(b.id) is b
+                if here and b.listing.life is Life.RUNNING and b not in some and fits(b):
+                    some.append(b)
             # Few may fit: a ticket bound to one cell, half a fleet drained. One wider look follows, no more.
             for width in (SAMPLE, 4 * SAMPLE):
                 if width == SAMPLE or len(some) < min(len(group), SAMPLE // 3):
@@ -428,6 +455,45 @@
         backend.distrust, backend.distrust_at = max(0.0, level), now
 
 
+class Keys:
+    """Where a key is kept warm: agents that share nothing name the same few home backends by a hash."""
+
+    def __init__(self, facts: Facts):
+        self.facts = facts
+        self.counts: dict[str, float] = {}
+        self.total = 0.0
+
+    def taken(self, key: str) -> None:
+        """Counts own work items by key, the old ones fading, so that a hot key is known as one."""
+        self.counts[key] = self.counts.get(key, 0.0) + 1.0
+        self.total += 1.0
+        if self.total >= 2 * KEYS_COUNTED:
+            self.total = 0.0
+            for key, count in list(self.counts.items()):
+                if count > 1.0:
+                    self.counts[key] = 0.5 * count
+                    self.total += 0.5 * count
+                else:
+                    del self.counts[key]
+
+    def preferred(self, key: str) -> list[Backend]:
+        """A hot key takes more than one backend bears, so as many as its share of the work asks for."""
+        circle = self.facts.circle
+        if not circle:
+            return []
+        share = (self.counts.get(key, 1.0) - 1.0) / (self.total + 10.0)
+        wanted = 1 + min(int(2 * share * len(self.facts.near)), SAMPLE // 2)
+        found: list[Backend] = []
+        start = bisect_left(circle, mark_of(key), key=lambda at: at[0])
+        for n in range(min(len(circle), 4 * SAMPLE)):
+            b = circle[(start + n) % len(circle)][1]
+            if b not in found:
+                found.append(b)
+                if len(found) == wanted:
+                    break
+        return found
+
+
 class Memory:
     """Remembered queues, learned speeds, and the random choice that goes by them."""
 
@@ -520,6 +586,10 @@
             exp((BLUNT + (SHARPNESS - BLUNT) * self.known(b, p.now)) * max(-4.0, min(4.0, mean - view)))
             for b, view in zip(choices, views, strict=True)
         ]
+        # Where a key is warm there is less to do, as long as the backend is no slower than others.
+        for n, b in enumerate(choices):
+            if b in p.favoured and views[n] <= mean + 0.5:
+                weights[n] *= KEY_PULL
         p.pick = self.facts.chance.choices(choices, weights)[0]
         return True
 
@@ -718,6 +788,7 @@
         self.repeats = Repeats(self.facts)
         self.zoning = Zoning(self.facts, self.memory)
         self.roster_keeper = Roster(self.facts, now)
+        self.keys = Keys(self.facts)
         self.stages = (self.ledger, self.admission, self.zoning, self.memory)
         self.alarms: list[tuple[Time, int, WorkItemId, int]] = []
         self.alarm_count = 0
@@ -741,9 +812,11 @@
         if kind.due:
             allowed = kind.due + int(kind.stretch * (work or 0))
             due = min(expiry, self._first_taken(now, kind, expiry, again) + allowed)
-        wi = WorkItem(id, kind, now, due, expiry, customer, work, again)
+        wi = WorkItem(id, kind, now, due, expiry, customer, work, again, key)
         self.ledger.take(wi)
         self.admission.taken(wi, now)
+        if key is not None and self.facts.warm_keys:
+            self.keys.taken(key)
         self.copies = min(5.0, self.copies + 0.03)
         self.memory.probes = min(10.0, self.memory.probes + self.memory.probe_gain)
         self._route(wi, now)
@@ -869,10 +942,13 @@
     def _route(self, wi: WorkItem, now: Time, extra: bool = False) -> None:
         p = Passage(wi, now, extra=extra)
         # What the effect allows and what is sound goes into the look around, so that a sample has both.
+        if wi.key is not None:
+            p.favoured = self.keys.preferred(wi.key)
         p.choices = self.facts.sample(
             lambda b: self.repeats.allows(wi, b, now)
             and self.soundness.allows(wi, b, now)
-            and not (extra and any(ho.backend is b for ho in wi.sent))
+            and not (extra and any(ho.backend is b for ho in wi.sent)),
+            p.favoured,
         )
         if all(stage.out(p) for stage in self.stages) and self._legal(p):
             if p.ask and self._ask(p):
--- a/src/nettledeal/records.py
+++ b/src/nettledeal/records.py
@@ -51,6 +51,7 @@
     customer: int
     work: float | None
     again: bool
+    key: str | None = None
     sent: list[Sent] = field(default_factory=list)
     open: int = 0
     must_home: bool = False
@@ -74,6 +75,7 @@
     paced_at: Time = 0
     distrust: float = 0.0
     distrust_at: Time = 0
+    marks: list[int] = field(default_factory=list)  # where it stands on the circle of keys
     heard_at: Time = -1  # when anything last came back
     tally: Ring | None = None
     budget: Ring | None = None
@@ -87,6 +89,7 @@
     now: Time
     choices: list[Backend] = field(default_factory=list)
     extra: bool = False
+    favoured: list[Backend] = field(default_factory=list)
     offload: bool = False
     pick: Backend | None = None
     ask: list[Backend] = field(default_factory=list)
