Answers are not slow under 1.5 times the usual, so heavy work no longer trims the limit

Cause: a heavy work item's usual time is most of its due time, so agents with a trickle trimmed their limit on quick answers.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -311,7 +311,8 @@
         since = min(1.0, (r.now - self.learned_at) / SECOND)
         self.learned_at = r.now
         self.slowdown += max(0.05, 0.15 * since) * (sample - self.slowdown)
-        bearable = min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected)
+        # A heavy work item may take most of its due time with nothing ahead: that is not the backends being slow.
+        bearable = max(1.5, min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected))
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
