The usual time starts from a guess that counts as two answers

Cause: one heavy first answer made a category look too slow to be on time; it was deferred and never learned again.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -186,12 +186,14 @@
     def category(self, index: int) -> Category:
         return self.categories[index] if 0 <= index < len(self.categories) else self.unknown
 
+    def guess(self, category: Category) -> float:
+        """Before any answer: as large a part of the due time as other categories take."""
+        known = [other.base / other.due for other in self.categories if other.base and other.due]
+        return (sum(known) / len(known) if known else 0.2) * (category.due or SECOND)
+
     def expected(self, category: Category, work: float | None) -> float:
         """How long this work item takes where nothing is ahead of it."""
-        base = category.base
-        if not base:
-            known = [other.base for other in self.categories if other.base]
-            base = sum(known) / len(known) if known else 0.15 * (category.due or SECOND)
+        base = category.base or self.guess(category)
         if work and category.work:
             # Waiting on others is part of an answer, so time grows more slowly than the work.
             base *= min(4.0, max(0.5, 0.5 + 0.5 * work / category.work))
@@ -311,7 +313,7 @@
         since = min(1.0, (r.now - self.learned_at) / SECOND)
         self.learned_at = r.now
         self.slowdown += max(0.05, 0.15 * since) * (sample - self.slowdown)
-        # A heavy work item may take most of its due time with nothing ahead: that is not the backends being slow.
+        # A heavy work item may take most of its due time with nothing ahead: no backend is slow by that.
         bearable = max(1.5, min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected))
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
@@ -664,15 +666,17 @@
                 kind.learn(sample, r.now, 20 * SECOND, 0.01)
         self.read(b, r.report, r.now)
 
-    @staticmethod
-    def _learn(category: Category, work: float | None, alone: float) -> None:
+    def _learn(self, category: Category, work: float | None, alone: float) -> None:
+        category.base = category.base or self.facts.guess(category)
         category.seen += 1
-        gain = max(0.02, 1.0 / category.seen)
+        # The guess counts as two answers: one alone may be many times the usual, and a category thought
+        # too slow to be on time is deferred and never learned again.
+        gain = max(0.02, 1.0 / (category.seen + 2.0))
         # Rises slower than it falls, or a jam would soon pass for the usual.
         rise = gain if category.seen < LEARNED or alone < category.base else 0.25 * gain
         category.base = category.base + rise * (alone - category.base)
         if work:
-            category.work = category.work + gain * (work - category.work)
+            category.work += gain * (work - category.work) if category.work else work
 
 
 class Zoning:
