--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -331,7 +331,9 @@
         self.safe = 0.5 * self.limit if self.limit > self.safe or not self.was_cut else 0.99 * self.safe
         self.was_cut = True
         # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
-        self.limit = max(1.0 / self.facts.agents, keep * self.limit)
+        # From what is out, not from what might be: a limit that nothing had met would need many cuts.
+        used = 1.25 * max(self.facts.open, self.facts.mean_open) / max(1, self.facts.running)
+        self.limit = max(1.0 / self.facts.agents, keep * min(self.limit, used))
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
