--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -318,6 +318,9 @@
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
+            # From what is out, not from what might be: a limit that nothing had met would need many cuts.
+            used = 1.25 * max(self.facts.open, self.facts.mean_open) / max(1, self.facts.running)
+            self.limit = min(self.limit, max(used, 1.0 / self.facts.agents))
             self._cut(0.5)
         elif self.slowdown > bearable:
             self._cut(min(0.97, 0.8**since))
@@ -331,9 +334,7 @@
         self.safe = 0.5 * self.limit if self.limit > self.safe or not self.was_cut else 0.99 * self.safe
         self.was_cut = True
         # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
-        # From what is out, not from what might be: a limit that nothing had met would need many cuts.
-        used = 1.25 * max(self.facts.open, self.facts.mean_open) / max(1, self.facts.running)
-        self.limit = max(1.0 / self.facts.agents, keep * min(self.limit, used))
+        self.limit = max(1.0 / self.facts.agents, keep * self.limit)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
