--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -314,9 +314,7 @@
         self.learned_at = r.now
         self.slowdown += max(0.05, 0.15 * since) * (sample - self.slowdown)
         # A heavy work item may take most of its due time with nothing ahead: no backend is slow by that.
-        # A fleet steered by stale memory is uneven: its fullest hold several times the mean.
-        even = (0.35 + 0.25 * self.memory.worth) * CROWD
-        bearable = max(1.5, min(even, 0.6 * (category.due or CROWD * expected) / expected))
+        bearable = max(1.5, min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected))
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
@@ -512,7 +510,6 @@
         self.probes = 0.0
         self.probe_took = 0.0  # learned: how long one takes
         # How far reports foretell waits, learned by regression; late, frozen or false ones fall to 0.
-        self.worth = 0.0  # how much was known, of late, of those picked
         self.squares = 20.0
         self.products = 10.0
         # How much each own hand-off there lengthens an answer: less than a whole one where answers wait
@@ -597,7 +594,6 @@
             if b in p.favoured and views[n] <= mean + 0.5:
                 weights[n] *= KEY_PULL
         p.pick = self.facts.chance.choices(choices, weights)[0]
-        self.worth += 0.05 * (self.known(p.pick, p.now) - self.worth)
         return True
 
     def _stale(self, p: Passage, choices: list[Backend]) -> list[Backend]:
