--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -125,7 +125,7 @@
         return self.settings.get(name, default)
 
     def count_open(self, now: Time, change: int = 0) -> None:
-        old = exp(-(now - self.open_at) / (4 * SECOND))
+        old = exp(-(now - self.open_at) / (1.5 * SECOND))
         self.mean_open = old * self.mean_open + (1 - old) * self.open
         self.open_at = now
         self.open += change
@@ -286,10 +286,11 @@
         share = self.facts.running / len(p.choices)
         room = self.limit * share * sum(self.memory.worthy(b, p.now) for b in p.choices)
         room *= 0.4 + 0.6 * rank
-        # With hundreds of agents a share is a fraction of one work item: it is then taken by time, as so
-        # many on average, or the one that each may always have would add up to several times the whole.
+        # With hundreds of agents a share is a fraction of one work item: it is taken by time, as so many
+        # on average, or the one that each may always have would add up to several times the whole.
         self.facts.count_open(p.now)
-        if self.facts.open > 1 and self.facts.open >= room or room < 1.0 and self.facts.mean_open >= room:
+        burst = room + 2.0 * room**0.5  # what chance puts out at once when the mean is as it should be
+        if self.facts.open >= max(2.0, burst) or self.facts.mean_open >= room:
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
@@ -323,7 +324,7 @@
             self._cut(min(0.97, 0.8 ** min(1.0, since)))
         else:
             sound = max(1, self.facts.running)
-            if max(self.facts.open, self.facts.mean_open) >= 0.5 * self.limit * sound:
+            if self.facts.mean_open >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
     def _cut(self, keep: float) -> None:
