--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -289,8 +289,7 @@
         # With hundreds of agents a share is a fraction of one work item: it is taken by time, as so many
         # on average, or the one that each may always have would add up to several times the whole.
         self.facts.count_open(p.now)
-        burst = room + 2.0 * room**0.5  # what chance puts out at once when the mean is as it should be
-        if self.facts.open >= max(2.0, burst) or self.facts.mean_open >= room:
+        if self.facts.open > 1 and self.facts.open >= room or self.facts.mean_open >= room:
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
