--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -254,6 +254,7 @@
         self.safe = 4 * CROWD
         self.cut_at = 0
         self.was_cut = False
+        self.jam_ends = 0
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -315,13 +316,18 @@
         self.slowdown += max(0.05, min(0.35, 0.4 * since)) * (sample - self.slowdown)
         # A heavy work item may take most of its due time with nothing ahead: no backend is slow by that.
         bearable = max(1.5, min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected))
-        if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
-            # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
+        # What a crowd has slowed down may stay slow until it has rested: a jam lasts until answers are quick
+        # again, or so long that resting was no help.
+        if self.slowdown > 0.75 * CROWD:
+            self.jam_ends = r.now + 5 * SECOND
+        jammed = r.now < self.jam_ends and self.slowdown > 0.3 * CROWD
+        if jammed and r.ho.at >= self.cut_at:
+            # Halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
             self._cut(0.5)
-        elif self.slowdown > bearable:
+        elif not jammed and self.slowdown > bearable:
             self._cut(min(0.97, 0.8 ** min(1.0, since)))
-        else:
+        elif not jammed:
             sound = max(1, self.facts.running)
             if self.facts.mean_open >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
@@ -330,8 +336,8 @@
         # Quick growth goes back to half of what was borne before the first cut, not further.
         self.safe = 0.5 * self.limit if self.limit > self.safe or not self.was_cut else 0.99 * self.safe
         self.was_cut = True
-        # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
-        self.limit = max(1.0 / self.facts.agents, keep * self.limit)
+        # A quarter of a work item a backend, over all agents: at that they are idle most of the time.
+        self.limit = max(0.25 / self.facts.agents, keep * self.limit)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
