--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -125,7 +125,7 @@
         return self.settings.get(name, default)
 
     def count_open(self, now: Time, change: int = 0) -> None:
-        old = exp(-(now - self.open_at) / (1.5 * SECOND))
+        old = exp(-(now - self.open_at) / (4 * SECOND))
         self.mean_open = old * self.mean_open + (1 - old) * self.open
         self.open_at = now
         self.open += change
@@ -254,7 +254,6 @@
         self.safe = 4 * CROWD
         self.cut_at = 0
         self.was_cut = False
-        self.jam_ends = 0
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -287,10 +286,10 @@
         share = self.facts.running / len(p.choices)
         room = self.limit * share * sum(self.memory.worthy(b, p.now) for b in p.choices)
         room *= 0.4 + 0.6 * rank
-        # With hundreds of agents a share is a fraction of one work item: it is taken by time, as so many
-        # on average, or the one that each may always have would add up to several times the whole.
+        # With hundreds of agents a share is a fraction of one work item: it is then taken by time, as so
+        # many on average, or the one that each may always have would add up to several times the whole.
         self.facts.count_open(p.now)
-        if self.facts.open > 1 and self.facts.open >= room or self.facts.mean_open >= room:
+        if self.facts.open > 1 and self.facts.open >= room or room < 1.0 and self.facts.mean_open >= room:
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
@@ -311,33 +310,28 @@
         expected = self.facts.expected(category, r.wi.work)
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
         # By the time gone by: what an agent with a trickle of answers learns must not come too late.
-        since = (r.now - self.learned_at) / SECOND
+        since = min(1.0, (r.now - self.learned_at) / SECOND)
         self.learned_at = r.now
-        self.slowdown += max(0.05, min(0.35, 0.4 * since)) * (sample - self.slowdown)
+        self.slowdown += max(0.05, 0.15 * since) * (sample - self.slowdown)
         # A heavy work item may take most of its due time with nothing ahead: no backend is slow by that.
         bearable = max(1.5, min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected))
-        # What a crowd has slowed down may stay slow until it has rested: a jam lasts until answers are quick
-        # again, or so long that resting was no help.
-        if self.slowdown > 0.75 * CROWD:
-            self.jam_ends = r.now + 5 * SECOND
-        jammed = r.now < self.jam_ends and self.slowdown > 0.3 * CROWD
-        if jammed and r.ho.at >= self.cut_at:
-            # Halved once a round of answers, as those sent before the last cut say nothing of it.
+        if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
+            # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
             self._cut(0.5)
-        elif not jammed and self.slowdown > bearable:
-            self._cut(min(0.97, 0.8 ** min(1.0, since)))
-        elif not jammed:
+        elif self.slowdown > bearable:
+            self._cut(min(0.97, 0.8**since))
+        else:
             sound = max(1, self.facts.running)
-            if self.facts.mean_open >= 0.5 * self.limit * sound:
+            if max(self.facts.open, self.facts.mean_open) >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
     def _cut(self, keep: float) -> None:
         # Quick growth goes back to half of what was borne before the first cut, not further.
         self.safe = 0.5 * self.limit if self.limit > self.safe or not self.was_cut else 0.99 * self.safe
         self.was_cut = True
-        # A quarter of a work item a backend, over all agents: at that they are idle most of the time.
-        self.limit = max(0.25 / self.facts.agents, keep * self.limit)
+        # One work item a backend, over all agents, is never a crowd: a jam clears at that too.
+        self.limit = max(1.0 / self.facts.agents, keep * self.limit)
 
     def come_back(self, wi: WorkItem, now: Time) -> Time:
         if not self.longest_wait:
