--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -687,6 +687,7 @@
         self.memory = memory
         self.threshold = FIRST_THRESHOLD
         self.worth = 0.0  # the usual worth of a work item
+        self.learned_at = 0
         # The threshold stands still where the share of late answers times what lateness costs meets the
         # price of a crossing: one work item too many makes several behind it late.
         self.price = min(0.5, max(0.01, 0.3 * float(facts.get("tariffs.cross_zone", 0.0))))
@@ -724,10 +725,15 @@
         late = r.outcome is Outcome.FULL or (
             r.outcome in (Outcome.FINISHED, Outcome.OVERDUE) and r.now > r.wi.due
         )
+        # By the time since the last answer, within bounds: with a trickle of them a home zone that is full
+        # for all its agents would go on being full for as many answers.
+        step = min(4.0, max(1.0, 10.0 * (r.now - self.learned_at) / SECOND))
+        self.learned_at = r.now
         if late:
-            self.threshold = max(0.25, self.threshold * 0.9)
+            self.threshold = max(0.25, self.threshold * 0.9**step)
         elif r.outcome is Outcome.FINISHED:
-            self.threshold = min(FIRST_THRESHOLD, self.threshold * 0.9 ** -(self.price / (1 - self.price)))
+            rise = step * self.price / (1 - self.price)
+            self.threshold = min(FIRST_THRESHOLD, self.threshold * 0.9**-rise)
 
 
 class Roster:
