The usual time rises slowly from the first answer on

Cause: agents in a full data centre learned its waiting as the usual time in their first twenty answers, so that their queue looked short and nothing overflowed to the idle one.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -673,7 +673,7 @@
         # too slow to be on time is deferred and never learned again.
         gain = max(0.02, 1.0 / (category.seen + 2.0))
         # Rises slower than it falls, or a jam would soon pass for the usual.
-        rise = gain if category.seen < LEARNED or alone < category.base else 0.25 * gain
+        rise = gain if alone < category.base else 0.25 * gain
         category.base = category.base + rise * (alone - category.base)
         if work:
             category.work += gain * (work - category.work) if category.work else work
