--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,120 @@
+"""What must hold however many agents and backends there are."""
+
+from collections import Counter
+
+import pytest
+from helpers import SECOND, Drive, answers, fleet, hand_offs, settings
+
+from nettledeal.decide import CROWD, SAMPLE, Balancer
+from nettledeal.model import Life, Listing, Outcome
+
+FULL_FLEET = fleet([0] * 20)
+
+
+@pytest.mark.parametrize("size", [10, 70, 300, 3000])
+def test_backends_looked_at_do_not_grow_with_the_fleet(size, monkeypatch):
+    drive = Drive([Listing(f"b{n}", zone=n % 3) for n in range(size)], balancers=500)
+    looked = set()
+    view = drive.balancer.memory.view
+    monkeypatch.setattr(drive.balancer.memory, "view", lambda b, now: looked.add(b.id) or view(b, now))
+    assert hand_offs(drive.take())
+    assert 2 <= len(looked) <= 2 * SAMPLE
+
+
+def test_agents_that_know_equally_little_spread_out():
+    seen = Counter()
+    for seed in range(300):
+        seen.update(ho.backend for ho in hand_offs(Drive(fleet([0] * 30), seed=seed, balancers=300).take()))
+    assert len(seen) == 30
+    assert max(seen.values()) < 30
+
+
+@pytest.mark.parametrize("agents", [500, 50])
+def test_shares_under_one_sum_up(agents):
+    """Slow answers everywhere: over all agents, about one crowd of the fleet is out on average, no more."""
+    out = 0.0
+    for seed in range(agents):
+        drive = Drive(FULL_FLEET, seed=seed, balancers=agents, categories__0__due_time=2 * SECOND)
+        waiting = []
+        for turn in range(60):
+            drive.now += SECOND // 2
+            while waiting and waiting[0][0] <= drive.now:
+                ho = waiting.pop(0)[1]
+                drive.balancer.returned(
+                    drive.now, ho.work_item, 0, Outcome.FINISHED, 20_000, closed=True, report={}
+                )
+            waiting += [(drive.now + 20_000, ho) for ho in hand_offs(drive.take(0, 4 * SECOND))]
+            out += len(waiting) / 30 if turn >= 30 else 0
+    assert 0.2 * len(FULL_FLEET) <= out <= 1.5 * CROWD * len(FULL_FLEET)
+
+
+def test_a_backend_never_used_is_guessed_by_its_kind():
+    drive = Drive([Listing(f"b{n}", kind=n % 2) for n in range(24)], balancers=100)
+    for _ in range(150):
+        for ho in hand_offs(drive.take()):
+            drive.back(ho, after=2400 if int(ho.backend[1:]) % 2 else 800)
+    drive.balancer.roster(drive.now, [Listing("n0"), Listing("n1", kind=1)], whole=False, cached=False)
+    memory, backends = drive.balancer.memory, drive.balancer.facts.backends
+    assert memory.view(backends["n1"], drive.now) > 1.5 * memory.view(backends["n0"], drive.now)
+
+
+@pytest.mark.parametrize(("age", "sharp"), [(0, True), (30 * SECOND, False)])
+def test_the_draw_is_as_sharp_as_memory_is_fresh(age, sharp):
+    drive = Drive(fleet([0] * 10))
+    backends = list(drive.balancer.facts.backends.values())
+    for b in backends:
+        for _ in range(20):
+            drive.balancer.probed(drive.now, b.id, Outcome.FINISHED, 3, {"outstanding": 3 * (b.id != "b0")})
+    drive.now += age
+    picks = Counter()
+    for _ in range(200):
+        for ho in hand_offs(drive.take()):
+            picks[ho.backend] += 1
+            drive.balancer.returned(drive.now, ho.work_item, 0, Outcome.RECALLED, 1, closed=True, report={})
+    assert (picks["b0"] > 0.5 * sum(picks.values())) == sharp
+
+
+@pytest.mark.parametrize("told", [None, 0, -5, 1, 10**9])
+def test_any_number_of_agents_is_survived(told):
+    plain = settings(balancers=told)
+    if told is None:
+        del plain["balancers"]
+    balancer = Balancer(1, plain, 0)
+    balancer.roster(0, fleet(), whole=True, cached=False)
+    for n in range(30):
+        assert balancer.take(n * SECOND, n, 0, (n + 2) * SECOND).acts
+
+
+@pytest.mark.parametrize(
+    ("listings", "sent"),
+    [
+        ([Listing(f"b{n}", zone=n % 4) for n in range(5000)], True),
+        ([], False),
+        ([Listing("b0")] * 50, True),
+        ([Listing("b0"), Listing("b0", life=Life.GONE)], False),
+        (fleet((1, 2, 3)), True),
+    ],
+)
+def test_odd_lists(listings, sent):
+    acts = Drive(listings, balancers=500).take()
+    assert bool(hand_offs(acts)) == sent
+    assert bool(answers(acts)) != sent
+
+
+def test_a_list_replaced_whole_under_traffic():
+    drive = Drive(fleet((0, 0, 1)), balancers=300)
+    (ho,) = hand_offs(drive.take(1))
+    drive.balancer.roster(drive.now, [Listing(f"n{n}") for n in range(40)], whole=True, cached=False)
+    # It may have run on a backend that is gone: it is not sent again, and what is new goes to the new.
+    assert not hand_offs(drive.back(ho, Outcome.RESET))
+    assert all(ho.backend.startswith("n") for _ in range(10) for ho in hand_offs(drive.take()))
+
+
+def test_a_burst_after_minutes_of_silence():
+    drive = Drive(FULL_FLEET, balancers=500)
+    for ho in hand_offs(drive.take()):
+        drive.back(ho)
+    drive.now += 300 * SECOND
+    acts = [act for _ in range(50) for act in drive.take()]
+    assert 1 <= len(hand_offs(acts)) <= CROWD
+    assert len(hand_offs(acts)) + len(answers(acts)) == 50
