--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -525,6 +525,7 @@
         # long queues are in its zone.
         self.kinds: dict[int, Trend] = {}
         self.zones: dict[int, Trend] = {}
+        self.slow: dict[int, Trend] = {}  # and how slow its answers are, of late
 
     @property
     def belief(self) -> float:
@@ -556,10 +557,12 @@
         return 0.0 if b.read_at is None else exp(-(now - b.read_at) / KNOWN)
 
     def _faded(self, b: Backend, now: Time) -> float:
-        """What has been learned of a backend's speed fades to its kind's, or one that recovers would never
-        be tried."""
-        kind = self.kinds.get(b.listing.kind)
-        return (kind.value if kind else 0.0) + (b.pace and b.pace * exp(-(now - b.paced_at) / STALE))
+        """What has been learned of a backend's speed fades to what its kind and its zone show, or one that
+        recovers would never be tried."""
+        kind, zone = self.kinds.get(b.listing.kind), self.slow.get(b.listing.zone)
+        known = exp(-(now - b.paced_at) / STALE) if b.pace else 0.0
+        usual = (1 - known) * zone.faded(now, STALE / 2) if zone else 0.0
+        return (kind.value if kind else 0.0) + known * b.pace + usual
 
     def pace(self, b: Backend, now: Time) -> float:
         """Learned slowness; silence counts: what is overdue shows at least so slow a backend."""
@@ -668,6 +671,8 @@
                 gain = max(0.05, 0.5 * (1.0 - old))
                 b.pace = (1 - gain) * b.pace * old + gain * (sample - kind.value)
                 b.paced_at = r.now
+                slow = self.slow.setdefault(b.listing.zone, Trend(0.0, r.now))
+                slow.learn(sample - kind.value, r.now, 2 * SECOND, 0.05)
                 kind.learn(sample, r.now, 20 * SECOND, 0.01)
         self.read(b, r.report, r.now)
 
