--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -315,9 +315,9 @@
         expected = self.facts.expected(category, r.wi.work)
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
         # By the time gone by: what an agent with a trickle of answers learns must not come too late.
-        since = min(1.0, (r.now - self.learned_at) / SECOND)
+        since = (r.now - self.learned_at) / SECOND
         self.learned_at = r.now
-        self.slowdown += max(0.05, 0.15 * since) * (sample - self.slowdown)
+        self.slowdown += max(0.05, min(0.5, 0.15 * since)) * (sample - self.slowdown)
         # A heavy work item may take most of its due time with nothing ahead: no backend is slow by that.
         bearable = max(1.5, min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected))
         if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
@@ -325,7 +325,7 @@
             self.cut_at = r.now
             self._cut(0.5)
         elif self.slowdown > bearable:
-            self._cut(min(0.97, 0.8**since))
+            self._cut(min(0.97, 0.8 ** min(1.0, since)))
         else:
             sound = max(1, self.facts.running)
             if max(self.facts.open, self.facts.mean_open) >= 0.5 * self.limit * sound:
