--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -126,7 +126,7 @@
         return self.settings.get(name, default)
 
     def count_open(self, now: Time, change: int = 0) -> None:
-        old = exp(-(now - self.open_at) / (4 * SECOND))
+        old = exp(-(now - self.open_at) / (1.5 * SECOND))
         self.mean_open = old * self.mean_open + (1 - old) * self.open
         self.open_at = now
         self.open += change
@@ -292,7 +292,7 @@
         # With hundreds of agents a share is a fraction of one work item: it is then taken by time, as so
         # many on average, or the one that each may always have would add up to several times the whole.
         self.facts.count_open(p.now)
-        if self.facts.open > 1 and self.facts.open >= room or room < 1.0 and self.facts.mean_open >= room:
+        if self.facts.open > 1 and self.facts.open >= room or self.facts.mean_open >= room:
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
@@ -328,7 +328,7 @@
             self._cut(min(0.97, 0.8 ** min(1.0, since)))
         else:
             sound = max(1, self.facts.running)
-            if max(self.facts.open, self.facts.mean_open) >= 0.5 * self.limit * sound:
+            if self.facts.mean_open >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
     def _cut(self, keep: float) -> None:
