The mean of 1.5 s out binds where a share is under two work items

Cause: a trickle agent's limit grew on one hand-off out by chance and was then far above anything used when a burst met a crash.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -292,7 +292,7 @@
         # With hundreds of agents a share is a fraction of one work item: it is then taken by time, as so
         # many on average, or the one that each may always have would add up to several times the whole.
         self.facts.count_open(p.now)
-        if self.facts.open > 1 and self.facts.open >= room or self.facts.mean_open >= room:
+        if self.facts.open > 1 and self.facts.open >= room or room < 2.0 and self.facts.mean_open >= room:
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
         self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
@@ -328,7 +328,8 @@
             self._cut(min(0.97, 0.8 ** min(1.0, since)))
         else:
             sound = max(1, self.facts.running)
-            if self.facts.mean_open >= 0.5 * self.limit * sound:
+            # One more than the mean is out by chance, and no sign that the limit was met.
+            if max(self.facts.mean_open, self.facts.open - 1) >= 0.5 * self.limit * sound:
                 self.limit = min(4 * CROWD, self.limit + (1.0 if self.limit < self.safe else 0.2) / sound)
 
     def _cut(self, keep: float) -> None:
