Trial: a cold backend's share of own work items under half its push as a part of the fleet's

Cause: each of 500 agents might send one work item a span to a cold backend whatever its share (new test).

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -211,9 +211,6 @@
         self.open: dict[WorkItemId, WorkItem] = {}
         self.most = facts.get("allowed.most_hand_offs", 1) or 1
 
-    def take(self, wi: WorkItem) -> None:
-        self.open[wi.id] = wi
-
     def out(self, p: Passage) -> bool:
         return p.now < p.wi.expiry and len(p.wi.sent) < self.most
 
@@ -289,8 +286,8 @@
         share = self.facts.running / len(p.choices)
         room = self.limit * share * sum(self.memory.worthy(b, p.now) for b in p.choices)
         room *= 0.4 + 0.6 * rank
-        # With hundreds of agents a share is a fraction of one work item: it is then taken by time, as so
-        # many on average, or the one that each may always have would add up to several times the whole.
+        # With hundreds of agents a share is a fraction of one work item: it is then taken by time, or the
+        # one that each may always have would add up to several times the whole.
         self.facts.count_open(p.now)
         if self.facts.open > 1 and self.facts.open >= room or room < 2.0 and self.facts.mean_open >= room:
             return False
@@ -602,6 +599,26 @@
         for n, b in enumerate(choices):
             if b in p.favoured and views[n] <= mean + 0.5:
                 weights[n] *= KEY_PULL
+        return self._draw(p, choices, weights)
+
+    def _draw(self, p: Passage, choices: list[Backend], weights: list[float]) -> bool:
+        """A cold backend's share of own work items stays under half the push for its share of the fleet: if
+        all agents keep to that, those unseen and busy ones too, their sum does, however many they are."""
+        bears = [self.soundness.capacity(b, p.now) for b in choices]
+        total, cold = sum(weights), 0.0
+        for n, b in enumerate(choices):
+            if bears[n] < 1.0:
+                group = len(self.facts.far if p.offload else self.facts.near)
+                drawn = 1.0 if b in self.facts.recent else len(choices) / max(len(choices), group)
+                most = 0.5 * self.soundness.factor * bears[n] / (self.facts.running * drawn)
+                weights[n] = min(weights[n] / total, most)
+                cold += weights[n]
+        warm = sum(w for w, bear in zip(weights, bears, strict=True) if bear >= 1.0)
+        if cold and warm:
+            rest = max(0.0, 1.0 - cold) / warm
+            weights = [w if bear < 1.0 else rest * w for w, bear in zip(weights, bears, strict=True)]
+        elif cold < 1.0 and not warm and self.facts.chance.random() > cold:
+            return False  # all are cold, and together they bear no more
         p.pick = self.facts.chance.choices(choices, weights)[0]
         return True
 
@@ -620,10 +637,6 @@
         self.probes -= len(ask)
         return ask
 
-    def sent(self, p: Passage, ho: Sent) -> None:
-        p.pick.own[(p.wi.id, ho.number)] = ho
-        p.pick.own_since += 1
-
     def read(self, b: Backend, report: Report, now: Time) -> None:
         if "outstanding" in report:
             others = max(0.0, report["outstanding"] - len(b.own))
@@ -794,7 +807,7 @@
             for id, backend in backends.items():
                 if id not in named:
                     backend.listing = replace(backend.listing, life=Life.GONE)
-        # Fleets are replaced for ever: what is gone and holds nothing of ours must not slow each decision.
+        # Fleets are replaced for ever: what is gone and holds nothing of ours must not pile up.
         for id in [id for id, b in backends.items() if b.listing.life is Life.GONE and not b.own]:
             del backends[id]
         self.facts.regroup()
@@ -835,7 +848,7 @@
             allowed = kind.due + int(kind.stretch * (work or 0))
             due = min(expiry, self._first_taken(now, kind, expiry, again) + allowed)
         wi = WorkItem(id, kind, now, due, expiry, customer, work, again, key)
-        self.ledger.take(wi)
+        self.ledger.open[id] = wi
         self.admission.taken(wi, now)
         if key is not None and self.facts.warm_keys:
             self.keys.taken(key)
@@ -860,9 +873,10 @@
         self, now: Time, id: WorkItemId, number: int, outcome: Outcome, took: Time, *, closed: bool,
         report: Report,
     ) -> Step:
-        ho = self._forget(id, number)
+        ho = self.out.pop((id, number), None)
         if ho is None:
             return self._step(now)
+        ho.backend.own.pop((id, number), None)
         ho.outcome = outcome
         self.facts.count_open(now, -1 if not ho.lost else 0)
         wi = self.ledger.open.get(id)
@@ -963,9 +977,8 @@
 
     def _route(self, wi: WorkItem, now: Time, extra: bool = False) -> None:
         p = Passage(wi, now, extra=extra)
+        p.favoured = self.keys.preferred(wi.key) if wi.key is not None else []
         # What the effect allows and what is sound goes into the look around, so that a sample has both.
-        if wi.key is not None:
-            p.favoured = self.keys.preferred(wi.key)
         p.choices = self.facts.sample(
             lambda b: self.repeats.allows(wi, b, now)
             and self.soundness.allows(wi, b, now)
@@ -1016,7 +1029,8 @@
         self.out[(wi.id, ho.number)] = ho
         wi.open += 1
         self.facts.count_open(now, 1)
-        self.memory.sent(p, ho)
+        backend.own[(wi.id, ho.number)] = ho
+        backend.own_since += 1
         self.soundness.sent(p)
         if p.extra:
             self.copies -= 1.0
@@ -1025,11 +1039,10 @@
         patience = int(max(4 * (due_back - now), 4 * expected))
         self._alarm(now + patience, wi, ho.number)
         # Where no copy may go beside it, a straggler is given up while another backend can still be on time;
-        # only in an idle fleet, since what was begun goes on and is done twice.
-        # What is usual must be known first, or all that is heavier than a guess is begun twice.
-        again = wi.category.effect is Effect.RERUNNABLE and wi.due - now - patience > expected
-        again = again and wi.category.seen >= LEARNED
-        if again and not self.facts.may_copy and len(wi.sent) < 2 and self.admission.slowdown < 1.5:
+        # only in an idle fleet whose usual time is known, since what was begun goes on and is done twice.
+        again = wi.category.effect is Effect.RERUNNABLE and len(wi.sent) < 2 and not self.facts.may_copy
+        idle = wi.category.seen >= LEARNED and self.admission.slowdown < 1.5
+        if again and idle and wi.due - now - patience > expected:
             time_out = min(time_out, patience)
         self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
 
@@ -1044,12 +1057,6 @@
         if self.facts.may_recall and not wi.streaming:
             self.acts += [Recall(wi.id, ho.number) for ho in wi.sent if ho.outcome is None]
 
-    def _forget(self, id: WorkItemId, number: int) -> Sent | None:
-        ho = self.out.pop((id, number), None)
-        if ho is not None:
-            ho.backend.own.pop((id, number), None)
-        return ho
-
     def _step(self, now: Time) -> Step:
         self.acts += self.roster_keeper.wake(now)
         acts, self.acts = self.acts, []
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -118,3 +118,25 @@
     acts = [act for _ in range(50) for act in drive.take()]
     assert 1 <= len(hand_offs(acts)) <= CROWD
     assert len(hand_offs(acts)) + len(answers(acts)) == 50
+
+
+@pytest.mark.parametrize("warm", [0, 10])
+def test_cold_backends_get_their_share_over_500_agents(warm):
+    """Many agents that see idle cold backends and long queues at all others: the sum stays under the push."""
+    now, agents = 100_000, 500
+    listings = [Listing(f"w{n}") for n in range(warm)] + [Listing(f"c{n}", started=now) for n in range(10)]
+    seen, total = Counter(), 0
+    for seed in range(agents):
+        drive = Drive(listings, seed=seed, balancers=agents, now=now)
+        for name, queue in [(f"w{n}", 40) for n in range(warm)] + [(f"c{n}", 0) for n in range(10)]:
+            for _ in range(12):
+                drive.balancer.probed(now, name, Outcome.FINISHED, 3, {"outstanding": queue})
+        for ho in hand_offs(drive.take()):
+            seen[ho.backend] += 1
+            total += 1
+    # At most half of the push of 3 times what each cold one bears now, as a part of a warm fleet's work;
+    # where all are cold the rest is deferred.
+    share = 1.5 * 0.3 / (warm + 10)
+    assert total > (0.9 if warm else 0.3) * agents
+    assert 0.2 * share * agents <= min(seen[f"c{n}"] for n in range(10))
+    assert sum(seen[f"c{n}"] for n in range(10)) <= 1.2 * 10 * share * agents
