--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -104,6 +104,7 @@
         # grow with the fleet.
         self.near: list[Backend] = []
         self.far: list[Backend] = []
+        self.running = 0
         self.warm_keys = bool(self.get("family_info.warm_keys", False))
         self.sized = self.get("weights", "silent") in ("nominal", "rough")
         self.circle: list[tuple[int, Backend]] = []
@@ -133,12 +134,9 @@
         if change > 0:
             self.sent_at = now
 
-    @property
-    def running(self) -> int:
-        return len(self.near) + len(self.far)
-
     def regroup(self) -> None:
         running = [b for b in self.backends.values() if b.listing.life is Life.RUNNING]
+        self.running = len(running)
         self.near = [b for b in running if b.listing.zone == self.home]
         self.far = [b for b in running if b.listing.zone != self.home]
         if self.warm_keys:
@@ -283,9 +281,8 @@
             return True
         rank = self._rank(wi, p.now)
         # Backends still cold, or distrusted, add only what they bear: half a fleet replaced is no fleet.
-        share = self.facts.running / len(p.choices)
-        room = self.limit * share * sum(self.memory.worthy(b, p.now) for b in p.choices)
-        room *= 0.4 + 0.6 * rank
+        worthy = sum(self.memory.worthy(b, p.now) for b in p.choices) / len(p.choices)
+        room = (0.4 + 0.6 * rank) * self.limit * self.facts.running * worthy
         # With hundreds of agents a share is a fraction of one work item: it is then taken by time, or the
         # one that each may always have would add up to several times the whole.
         self.facts.count_open(p.now)
@@ -399,12 +396,14 @@
             return False  # named by a stale list only: it may be gone, or cold
         if self.capacity(backend, now) >= 1.0:
             return True
-        # Half the push that topples it, shared with agents that cannot be seen; never in one burst.
-        limit = 0.5 * self.factor * self.span / self.facts.agents
-        limit *= self.capacity(backend, now - self.span // 2)
         spent = backend.budget.total(now, 0) if backend.budget else 0.0
         cost = self.facts.expected(wi.category, wi.work)
-        return (spent + cost <= limit or not spent) and len(backend.own) < 3
+        return (spent + cost <= self.budget(backend, now) or not spent) and len(backend.own) < 3
+
+    def budget(self, backend: Backend, now: Time) -> float:
+        """Half the push that topples it, shared with agents that cannot be seen; never in one burst."""
+        whole = 0.5 * self.factor * self.span * self.capacity(backend, now - self.span // 2)
+        return whole / self.facts.agents
 
     def sent(self, p: Passage) -> None:
         backend = p.pick
@@ -602,22 +601,23 @@
         return self._draw(p, choices, weights)
 
     def _draw(self, p: Passage, choices: list[Backend], weights: list[float]) -> bool:
-        """A cold backend's share of own work items stays under half the push for its share of the fleet: if
-        all agents keep to that, those unseen and busy ones too, their sum does, however many they are."""
+        """Where an equal share of a cold backend's budget is under one work item, it is taken by chance: as a
+        part of own work items. If all agents keep to that, unseen and busy ones too, their sum does."""
+        one = self.facts.expected(p.wi.category, p.wi.work)
         bears = [self.soundness.capacity(b, p.now) for b in choices]
-        total, cold = sum(weights), 0.0
+        total, clipped = sum(weights), []
         for n, b in enumerate(choices):
-            if bears[n] < 1.0:
+            if bears[n] < 1.0 and self.soundness.budget(b, p.now) < one:
                 group = len(self.facts.far if p.offload else self.facts.near)
                 drawn = 1.0 if b in self.facts.recent else len(choices) / max(len(choices), group)
-                most = 0.5 * self.soundness.factor * bears[n] / (self.facts.running * drawn)
-                weights[n] = min(weights[n] / total, most)
-                cold += weights[n]
-        warm = sum(w for w, bear in zip(weights, bears, strict=True) if bear >= 1.0)
-        if cold and warm:
-            rest = max(0.0, 1.0 - cold) / warm
-            weights = [w if bear < 1.0 else rest * w for w, bear in zip(weights, bears, strict=True)]
-        elif cold < 1.0 and not warm and self.facts.chance.random() > cold:
+                most = 0.7 * self.soundness.factor * bears[n] / (self.facts.running * drawn)
+                weights[n] = min(weights[n], most * total)
+                clipped.append(n)
+        rest = total - sum(weights)
+        others = sum(w for n, w in enumerate(weights) if n not in clipped)
+        if rest > 0.0 and others:
+            weights = [w if n in clipped else w + w * rest / others for n, w in enumerate(weights)]
+        elif rest > 0.0 and self.facts.chance.random() * total < rest:
             return False  # all are cold, and together they bear no more
         p.pick = self.facts.chance.choices(choices, weights)[0]
         return True
