--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -549,8 +549,8 @@
 
     def known(self, b: Backend, now: Time) -> float:
         """How much the memory of a backend is worth: 1 when fresh, 0 when never heard from."""
-        if b.pinned is not None or b.own:
-            return 1.0  # what is told, or one's own, needs no report
+        if b.pinned is not None:
+            return 1.0
         return 0.0 if b.read_at is None else exp(-(now - b.read_at) / KNOWN)
 
     def _faded(self, b: Backend, now: Time) -> float:
