--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -140,3 +140,45 @@
     assert total > (0.9 if warm else 0.3) * agents
     assert 0.2 * share * agents <= min(seen[f"c{n}"] for n in range(10))
     assert sum(seen[f"c{n}"] for n in range(10)) <= 1.2 * 10 * share * agents
+
+
+def test_agents_agree_where_a_key_is_kept_and_a_hot_key_spreads():
+    drives = [Drive(fleet([0] * 30), seed=seed, family_info__warm_keys=True) for seed in range(40)]
+    cold, hot = Counter(), Counter()
+    for drive in drives:
+        cold.update(ho.backend for ho in hand_offs(drive.take(key="k1")))
+    for _ in range(60):
+        for ho in hand_offs(drives[0].take(key="k2")):
+            hot[ho.backend] += 1
+            drives[0].back(ho)
+    assert cold.most_common(1)[0][1] > 0.7 * sum(cold.values())
+    assert len(hot) > 2
+
+
+@pytest.mark.parametrize(("wait", "sent"), [(SECOND // 2, False), (3 * SECOND, True)])
+def test_who_defers_everything_tries_again_after_a_while(wait, sent):
+    drive = Drive()
+    drive.back(hand_offs(drive.take())[0])
+    drive.balancer.facts.categories[0].base = 30_000.0
+    drive.now += wait
+    assert bool(hand_offs(drive.take())) == sent
+
+
+def test_one_heavy_answer_does_not_make_a_category_hopeless():
+    drive = Drive(categories__0__payoff=1.0)
+    drive.back(hand_offs(drive.take())[0], after=9900)
+    drive.now += SECOND // 10
+    assert hand_offs(drive.take())
+
+
+def test_the_usual_time_rises_slower_than_it_falls():
+    usual = {}
+    for after in (500, 8000):
+        drive = Drive()
+        start = drive.balancer.facts.guess(drive.balancer.facts.categories[0])
+        for _ in range(5):
+            drive.back(hand_offs(drive.take(0, 20_000))[0], after=after)
+            drive.now += 3 * SECOND
+        usual[after] = drive.balancer.facts.categories[0].base
+    assert usual[500] < 0.6 * start
+    assert usual[8000] < 3 * start
