--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -70,7 +70,7 @@
     for _ in range(200):
         for ho in hand_offs(drive.take()):
             picks[ho.backend] += 1
-            drive.balancer.returned(drive.now, ho.work_item, 0, Outcome.RECALLED, 1, closed=True, report={})
+            drive.back(ho, Outcome.RECALLED, after=0, closed=True)
     assert (picks["b0"] > 0.5 * sum(picks.values())) == sharp
 
 
