--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -1,12 +1,19 @@
-"""The program: wires the agent together, starts it, stops it."""
+"""The program: wires the agent together, starts it, reloads it, stops it."""
 
 from __future__ import annotations
 
+import signal
+
+if hasattr(signal, "pthread_sigmask"):
+    # Before all else is imported, which takes a while: an order to reload that comes before anybody can
+    # follow it would end the process. It is kept until then.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
 import gc
 import os
-import signal
 import sys
 from contextlib import suppress
+from dataclasses import replace
 from random import Random
 
 import gevent
@@ -24,7 +31,7 @@
 from nettledeal.net.transport.budget import Budget, shares
 from nettledeal.net.transport.listener import Listener
 from nettledeal.net.transport.pools import Pools
-from nettledeal.net.transport.watch import Watch
+from nettledeal.net.transport.watch import Lookout
 
 log = structlog.get_logger()
 
@@ -34,6 +41,8 @@
 LAST_CALL = 0.1
 # A forerunner that is just ending may still hold the address.
 BIND_WITHIN = 2.0
+# What was built by it at the start, or is bound to the module's memory; seed and known list are for a start.
+FIXED = ("name", "listen", "memory_mb", "sockets", "settings")
 
 
 class Log:
@@ -74,7 +83,7 @@
             reports=told.setting("feedback.via") != "silent",
             subscribe=self._subscribe,
         )
-        self.watch = Watch(
+        self.lookout = Lookout(
             told.discovery, Random(told.seed + 1), self.counters, self.catalogue, self.owner.news,
             self.owner.lost,
         )
@@ -82,6 +91,7 @@
         self.longest = max(waits, default=SECOND)
         self.listener = self._listener(clients)
         self.stopping = Event()
+        self.called = Event()  # to reload
 
     def _listener(self, clients: Budget) -> Listener:
         for _ in range(int(BIND_WITHIN / 0.1) + 1):
@@ -96,7 +106,7 @@
         raise Fault(f"listen: {written(self.told.listen)}: {why}")
 
     def _subscribe(self) -> None:
-        self.watch.start()
+        self.lookout.start()
 
     def _known(self) -> News | None:
         try:
@@ -110,17 +120,22 @@
         self.owner.start(self._known())
         gevent.spawn(self.owner.run)
         if self.told.setting("discovery") == "pushed":
-            self.watch.start()
+            self.lookout.start()
         gevent.spawn(self.listener.run)
         gevent.spawn(self._tell)
+        gevent.spawn(self._reloads)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.stopping.set)
+        gevent.signal_handler(signal.SIGHUP, self.called.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         # What lives from here on is not looked at again: a full collection would hold up all answers.
         gc.collect()
         gc.freeze()
         log.info("started", agent=self.told.name)
         self.stopping.wait()
         self._stop()
+        # Nobody is left to follow another order to reload; the end must not turn into a death by it.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
     def _stop(self) -> None:
         """Clients come for a while yet, and what has been taken is answered before the end."""
@@ -140,6 +155,29 @@
         self.listener.close()
         log.info("stopped", **self.counters)
 
+    def _reloads(self) -> None:
+        """Orders that come while one is followed add up to one more: the file is read as it then is."""
+        while True:
+            self.called.wait()
+            self.called.clear()
+            try:
+                self._reload()
+            except Fault as fault:
+                log.error("reload refused, the old configuration stays in force", why=str(fault))
+            except Exception:
+                self.counters.fault("reload")
+
+    def _reload(self) -> None:
+        old, new = self.told, configuration.read(os.environ)
+        later = [key for key in FIXED if getattr(new, key) != getattr(old, key)]
+        if later:
+            log.warning("these take effect only at a restart", keys=later)
+        if new.log_level != old.log_level:
+            configure_log(new.log_level)
+        self.told = replace(old, discovery=new.discovery, log_level=new.log_level)
+        self.lookout.move(new.discovery)
+        log.info("reloaded", discovery=written(new.discovery))
+
     def _tell(self) -> None:
         said: dict[str, int] = {}
         while True:
@@ -149,19 +187,23 @@
                 log.info("counted", **said)
 
 
+def configure_log(level: str) -> None:
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(file=Log()),
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+    )
+
+
 def main() -> int:
     try:
         told = configuration.read(os.environ)
-        structlog.configure(
-            wrapper_class=structlog.make_filtering_bound_logger(told.log_level),
-            logger_factory=structlog.WriteLoggerFactory(file=Log()),
-            processors=[
-                structlog.processors.add_log_level,
-                structlog.processors.TimeStamper(fmt="iso"),
-                structlog.processors.format_exc_info,
-                structlog.processors.JSONRenderer(),
-            ],
-        )
+        configure_log(told.log_level)
         agent = Agent(told)
     except Fault as fault:
         print(f"nettledeal: {fault}", file=sys.stderr)
--- a/src/nettledeal/net/transport/watch.py
+++ b/src/nettledeal/net/transport/watch.py
@@ -1,4 +1,4 @@
-"""The watch on the list of backends: kept open, opened anew when it ends or falls silent."""
+"""The watch on the list of backends: kept open, opened anew when it ends or falls silent, and moved."""
 
 from __future__ import annotations
 
@@ -27,9 +27,11 @@
 
 
 class Watch:
+    """The watch at one address."""
+
     def __init__(
         self, address: Address, chance: Random, counters: Counters, catalogue: Catalogue,
-        news: Callable[[News], None], lost: Callable[[], None],
+        news: Callable[[Watch, News], None], lost: Callable[[Watch], None],
     ):
         self.address = address
         self.chance = chance
@@ -40,20 +42,26 @@
         # Heard last. None asks for the whole list: at the start, as what was known then may be old, and
         # after a line that could not be read, as the next ones leave out what it said.
         self.version: int | None = None
+        self.stands = False  # the list has been heard, and not been lost since
+        self.followed = False  # another one takes its place: once lost, it does not come back
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        if self.greenlet is None:
-            self.greenlet = gevent.spawn(self._run)
+        self.greenlet = gevent.spawn(self._run)
+
+    def end(self) -> None:
+        if self.greenlet is not None:
+            self.greenlet.kill(block=False)
 
     def _run(self) -> None:
         pause = FIRST_PAUSE
-        while True:
+        while not self.followed:
             try:
                 if self.version is None:
                     self._fetch()
                 for line in self._watch():
                     pause = FIRST_PAUSE
+                    self.stands = True
                     if line:
                         self._read(line)
             except OSError as fault:
@@ -65,7 +73,8 @@
             except Exception:
                 self.version = None
                 self.counters.fault("watch")
-            self.lost()
+            self.stands = False
+            self.lost(self)
             # Agents that lose the list together must not all come back in the same instant.
             gevent.sleep(pause * (0.5 + self.chance.random()))
             pause = min(2 * pause, LONGEST_PAUSE)
@@ -75,7 +84,8 @@
         if news.unread:
             self.counters["list entries garbled"] += news.unread
         self.version = news.generation
-        self.news(news)
+        self.stands = True
+        self.news(self, news)
 
     def _fetch(self) -> None:
         with self._open() as sock:
@@ -112,3 +122,52 @@
                 return
             told.feed(memoryview(buffer)[:count])
             yield told
+
+
+class Lookout:
+    """The one watch that counts, and while that has heard nothing yet, the one that it follows."""
+
+    def __init__(
+        self, address: Address, chance: Random, counters: Counters, catalogue: Catalogue,
+        news: Callable[[News], None], lost: Callable[[], None],
+    ):
+        self.parts = chance, counters, catalogue, self._heard, self._lost
+        self.news = news
+        self.lost = lost
+        self.watch = Watch(address, *self.parts)
+        self.former: Watch | None = None
+        self.started = False
+
+    def start(self) -> None:
+        if not self.started:
+            self.started = True
+            self.watch.start()
+
+    def move(self, address: Address) -> None:
+        """To another address at once; what the old one still says is heard until the new one has spoken, or
+        a change told in between would be missed."""
+        if address == self.watch.address:
+            return
+        if self.watch.stands:
+            self.former = self.watch
+            self.former.followed = True
+        else:
+            # Moved again before it stood: its forerunner, if any, is the one that is still heard.
+            self.watch.end()
+        self.watch = Watch(address, *self.parts)
+        if self.started:
+            self.watch.start()
+
+    def _heard(self, watch: Watch, news: News) -> None:
+        if watch is self.watch and self.former is not None:
+            self.former.end()
+            self.former = None
+        if watch in (self.watch, self.former):
+            self.news(news)
+
+    def _lost(self, watch: Watch) -> None:
+        if watch is self.former:
+            self.former = None
+        # While either of them stands the list is not lost.
+        if watch is self.watch and self.former is None or watch is not self.watch and not self.watch.stands:
+            self.lost()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,7 +8,7 @@
 import gevent
 import pytest
 from gevent.event import Event
-from helpers import Far, Peer, asked, served, socket, until
+from helpers import Far, Peer, asked, replies, served, socket, until
 
 from nettledeal.configuration import Fault, address, check, read
 
@@ -92,6 +92,12 @@
     assert address("listen", "[::1]:80") == ("::1", 80)
 
 
+def free_place():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()
+
+
 def start(tmp_path, raw):
     file = tmp_path / "config.json"
     file.write_bytes(raw)
@@ -124,9 +130,7 @@
     far = Far(script)
     entry = {"instanceId": "s1", "hostPort": ":".join(map(str, far.address)), "zone": "a"}
     told = {**TOLD, "known": {"generation": 1, "reset": True, "instances": [entry]}}
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        place = sock.getsockname()
+    place = free_place()
     told |= {"listen": ":".join(map(str, place)), "discovery": "127.0.0.1:1"}
     agent = start(tmp_path, json.dumps(told).encode())
     try:
@@ -149,3 +153,47 @@
     finally:
         agent.kill()
         agent.stderr.close()
+
+
+def test_an_order_to_reload_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
+    def entry(place):
+        return {"instanceId": "s1", "hostPort": ":".join(map(str, place)), "zone": "a"}
+
+    def discovery(far):
+        whole = {"generation": 1, "reset": True, "instances": [entry(far.address)]}
+        return Far(replies(served(json.dumps(whole).encode())), lambda peer: peer.hear() and gevent.sleep(60))
+
+    far = Far(replies(served(b"first")))
+    lists = [discovery(far), discovery(Far(replies(served(b"second"))))]
+    place = free_place()
+    told = {**TOLD, "listen": ":".join(map(str, place)), "discovery": ":".join(map(str, lists[0].address))}
+    agent = start(tmp_path, json.dumps(told).encode())
+    # Blocked before anything else is done: an order that comes amid the start is kept.
+    assert until(lambda: "SigBlk:\t0000000000000001" in Path(f"/proc/{agent.pid}/status").read_text(), 20)
+    agent.send_signal(signal.SIGHUP)
+    try:
+        assert "started" in agent.stderr.readline()
+        assert "reloaded" in agent.stderr.readline()
+        assert until(lambda: len(lists[0].peers) == 2)
+        client = Peer(socket.create_connection(place))
+        assert client.send(asked()).hear().endswith(b"first")
+        file = tmp_path / "config.json"
+        file.write_bytes(changed("discovery", "nowhere"))
+        agent.send_signal(signal.SIGHUP)
+        refused = agent.stderr.readline()
+        assert "refused" in refused and "discovery: " in refused
+        assert client.send(asked(b"r2")).hear().endswith(b"first")
+        told |= {"discovery": ":".join(map(str, lists[1].address)), "limits": {"sockets": 128}}
+        file.write_text(json.dumps(told))
+        for _ in range(3):
+            agent.send_signal(signal.SIGHUP)
+        assert '"sockets"' in agent.stderr.readline()
+        assert until(lambda: len(lists[1].peers) == 2)
+        # Its connection, its memory and its backend's new place.
+        assert until(lambda: client.send(asked(b"r3")).hear().endswith(b"second"))
+        agent.send_signal(signal.SIGTERM)
+        agent.send_signal(signal.SIGHUP)
+        assert agent.wait(timeout=20) == 0
+    finally:
+        agent.kill()
+        agent.stderr.close()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -2,12 +2,13 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 from helpers import Far, replies, served, until
 
 from nettledeal.net.counters import Counters
 from nettledeal.net.protocol.catalogue import Catalogue
 from nettledeal.net.transport import watch as watch_module
-from nettledeal.net.transport.watch import Watch
+from nettledeal.net.transport.watch import Lookout
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -45,11 +46,11 @@
         self.far = Far(*scripts)
         self.news, self.lost = [], []
         self.counters = Counters()
-        self.watch = Watch(
+        self.lookout = Lookout(
             self.far.address, Random(1), self.counters, Catalogue([], []), self.news.append,
             lambda: self.lost.append(1),
         )
-        self.watch.start()
+        self.lookout.start()
 
     def heard(self, count):
         assert until(lambda: len(self.news) >= count)
@@ -113,3 +114,41 @@
     follow = Follow(says(end=True), says(end=True), WHOLE, says(CHUNKED))
     assert follow.heard(1) == [(3, True, 2)]
     assert len(follow.lost) == 2
+
+
+def test_a_move_is_made_at_once_and_the_old_list_is_heard_until_the_new_one_speaks():
+    speak = Event()
+
+    def slow(peer):
+        peer.hear()
+        speak.wait()
+        peer.send(served(line(9, "s5", whole=True)))
+
+    more = [chunk(line(generation) + b"\n") for generation in range(4, 60)]
+    follow = Follow(WHOLE, says(CHUNKED, *more))
+    follow.heard(1)
+    second = Far(slow, slow, says(CHUNKED + chunk(line(10, "s6") + b"\n")))
+    follow.lookout.move(second.address)
+    assert until(lambda: second.peers)
+    before = len(follow.news)
+    follow.heard(before + 3)
+    # Moved again amid its connect, and back: whoever stands is heard all the while.
+    follow.lookout.move(Far(slow).address)
+    follow.lookout.move(second.address)
+    assert until(lambda: len(second.peers) == 2)
+    speak.set()
+    assert until(lambda: (10, False) in [(news.generation, news.whole) for news in follow.news])
+    told = [news.generation for news in follow.news]
+    heard = len(told)
+    gevent.sleep(0.02)
+    assert told[-1] == 10 and len(follow.news) == heard, "the old watch has ended"
+    assert follow.far.peers[1].sock.recv(1) == b"" and not follow.lost
+
+
+def test_an_old_watch_that_ends_does_not_come_back_and_is_a_loss_only_while_no_other_stands():
+    follow = Follow(WHOLE, says(CHUNKED, chunk(b"\n"), end=True))
+    follow.heard(1)
+    follow.lookout.move(Far(says()).address)
+    assert until(lambda: follow.lost)
+    gevent.sleep(0.02)
+    assert len(follow.far.peers) == 2
