--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -158,7 +158,7 @@
         """Some backends of home and of elsewhere: favoured, heard from last, and others by chance."""
         found: list[Backend] = []
         for group, home in ((self.near, True), (self.far, False)):
-            some = [b for b in favoured if fits(b)] if home else []
+            some = [b for b in favoured if home and fits(b)]
             for b in self.recent:
                 here = (b.listing.zone == self.home) is home and self.backends.get(b.id) is b
                 if here and b.listing.life is Life.RUNNING and b not in some and fits(b):
@@ -358,8 +358,7 @@
             return True
         if effect is Effect.EXCLUSIVE or now >= maybe[0].at + wi.category.window:
             return False
-        group = wi.category.group
-        there = backend.listing
+        group, there = wi.category.group, backend.listing
         for ho in maybe:
             ran = ho.backend.listing
             if group is Group.ZONE and ran.zone != there.zone:
@@ -488,15 +487,9 @@
             return []
         share = (self.counts.get(key, 1.0) - 1.0) / (self.total + 10.0)
         wanted = 1 + min(int(2 * share * len(self.facts.near)), SAMPLE // 2)
-        found: list[Backend] = []
         start = bisect_left(circle, mark_of(key), key=lambda at: at[0])
-        for n in range(min(len(circle), 4 * SAMPLE)):
-            b = circle[(start + n) % len(circle)][1]
-            if b not in found:
-                found.append(b)
-                if len(found) == wanted:
-                    break
-        return found
+        turn = (circle[(start + n) % len(circle)][1] for n in range(min(len(circle), 4 * SAMPLE)))
+        return list(dict.fromkeys(turn))[:wanted]
 
 
 class Memory:
@@ -510,6 +503,7 @@
         self.asks_first = facts.may_probe and "outstanding" in str(facts.get("feedback.fields", ""))
         self.probe_gain = min(5.0, PROBE_SPEND / max(1e-6, float(facts.get("tariffs.probe", 0.0))))
         self.probes = 0.0
+        self.counted = 1.0  # how often a report that comes with an answer still counts that one
         self.probe_took = Trend()  # fades, or one moment in which all were slow would end probing for good
         # How far reports foretell waits, learned by regression; late, frozen or false ones fall to 0.
         self.squares = 20.0
@@ -637,9 +631,13 @@
         self.probes -= len(ask)
         return ask
 
-    def read(self, b: Backend, report: Report, now: Time) -> None:
+    def read(self, b: Backend, report: Report, now: Time, answered: bool = False) -> None:
         if "outstanding" in report:
-            others = max(0.0, report["outstanding"] - len(b.own))
+            # Refreshed now and then, it mostly counts the answered one, too: then no idle backend reads 0.
+            # Believed, that makes all seem half busy and twice as slow under load as they are.
+            if answered and not b.own:
+                self.counted += 0.02 * ((report["outstanding"] >= 0.5) - self.counted)
+            others = max(0.0, report["outstanding"] - len(b.own) - (answered and self.counted > 0.9))
         elif "backlog" in report:
             # A count of what only waits reads 0 at a busy backend: own hand-offs come on top.
             others = report["backlog"]
@@ -688,7 +686,7 @@
                 slow = self.slow.setdefault(b.listing.zone, Trend(0.0, r.now))
                 slow.learn(sample - kind.value, r.now, 2 * SECOND, 0.05)
                 kind.learn(sample, r.now, 20 * SECOND, 0.01)
-        self.read(b, r.report, r.now)
+        self.read(b, r.report, r.now, r.outcome in (Outcome.FINISHED, Outcome.ERROR))
 
     def _learn(self, category: Category, work: float | None, alone: float) -> None:
         category.base = category.base or self.facts.guess(category)
@@ -781,8 +779,7 @@
         return [Enquiry()]
 
     def heard(self) -> None:
-        self.next = None
-        self.backoff = max(1, self.within // 16)
+        self.next, self.backoff = None, max(1, self.within // 16)
 
     def failed(self, now: Time) -> None:
         self.next = now + int(self.backoff * (1 + self.facts.chance.random()))
@@ -885,8 +882,7 @@
         self.memory.back(r, self.zoning.threshold)
         self.zoning.back(r)
         self.soundness.back(r)
-        if outcome is Outcome.FINISHED:
-            ho.backend.known = True
+        ho.backend.known = ho.backend.known or outcome is Outcome.FINISHED
         if wi is None:
             return self._step(now)
         wi.open -= 1
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -265,3 +265,15 @@
     drive.balancer.roster(drive.now, [], whole=False, cached=False)
     assert set(drive.balancer.facts.backends) == {"b9"}
     assert not drive.balancer.out
+
+
+@pytest.mark.parametrize(("idle_reads", "others"), [(1.0, 0.0), (0.0, 1.0)])
+def test_a_report_that_counts_the_answered_one_is_read_without_it(idle_reads, others):
+    drive = Drive(fleet((0,)))
+    for reading in [idle_reads] * 20 + [1.0]:
+        (ho,) = hand_offs(drive.take())
+        drive.back(ho, report={"outstanding": reading})
+    assert drive.balancer.facts.backends["b0"].others == others
+    # A probe is not counted by its own answer.
+    drive.balancer.probed(drive.now, "b0", Outcome.FINISHED, 3, {"outstanding": 1.0})
+    assert drive.balancer.facts.backends["b0"].others == 1.0
