--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -118,6 +118,7 @@
             return None
 
     def run(self) -> None:
+        self.clock.attend()
         self.owner.start(self._known())
         gevent.spawn(self.owner.run)
         if self.told.setting("discovery") == "pushed":
--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -118,10 +118,8 @@
         self.categories = [self._category(f"categories.{n}.") for n in range(self.get("categories.count", 0))]
         # A category out of range has unknown rights: it gets the strictest ones.
         self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
-        self.open = 0  # hand-offs out now
-        self.mean_open = 0.0  # and over the last seconds
-        self.open_at = 0
-        self.sent_at = 0  # the last hand-off
+        self.open, self.mean_open = 0, 0.0  # hand-offs out now, and over the last seconds
+        self.open_at = self.sent_at = 0  # when they changed, and when the last one was sent
 
     def get(self, name: str, default):
         return self.settings.get(name, default)
@@ -166,7 +164,7 @@
             # Few may fit: a ticket bound to one cell, half a fleet drained. One wider look follows, no more.
             for width in (SAMPLE, 4 * SAMPLE):
                 if width == SAMPLE or len(some) < min(len(group), SAMPLE // 3):
-                    drawn = self.chance.sample(group, min(len(group), width))
+                    drawn = self.chance.sample(group, width) if len(group) > width else group
                     some += [b for b in drawn if b not in some and fits(b)]
             del some[SAMPLE:]
             found += some
@@ -245,13 +243,11 @@
         # Own hand-offs out for each sound backend. Until answers say otherwise, an equal share of what
         # crowds a backend: all agents may start at once, each seeing idle backends.
         self.limit = CROWD / facts.agents
-        self.slowdown = 1.0
-        self.learned_at = 0
+        self.slowdown, self.learned_at = 1.0, 0
         # Up to here the limit doubles with each round of answers: till the first cut, and to half of what
         # was borne before, or a fleet that has recovered would be kept idle.
         self.safe = 4 * CROWD
-        self.cut_at = 0
-        self.was_cut = False
+        self.cut_at, self.was_cut = 0, False
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
@@ -308,6 +304,9 @@
         category = r.wi.category
         expected = self.facts.expected(category, r.wi.work)
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
+        if r.outcome is Outcome.FINISHED and "outstanding" in r.report and self.memory.belief > 0.1:
+            # What no queue there explains comes of the way, or of the agent's own lateness: no cut cures it.
+            sample = min(sample, 2.0 + 1.5 * r.report["outstanding"])
         # By the time gone by: what an agent with a trickle of answers learns must not come too late.
         since = (r.now - self.learned_at) / SECOND
         self.learned_at = r.now
@@ -447,6 +446,8 @@
         backend.tally.add(now, 0, 1.0)
         self.judged.pop(backend.id, None)
         self.judged[backend.id] = backend, now
+        if len(self.judged) > 2 * self.facts.running + SAMPLE:
+            del self.judged[next(iter(self.judged))]  # fleets are replaced for ever
         level = self.distrust(backend, now)
         if failed:
             backend.tally.add(now, 1, 1.0)
@@ -503,15 +504,14 @@
         self.asks_first = facts.may_probe and "outstanding" in str(facts.get("feedback.fields", ""))
         self.probe_gain = min(5.0, PROBE_SPEND / max(1e-6, float(facts.get("tariffs.probe", 0.0))))
         self.probes = 0.0
+        self.views: dict[BackendId, float] = {}  # of this passage
         self.counted = 1.0  # how often a report that comes with an answer still counts that one
         self.probe_took = Trend()  # fades, or one moment in which all were slow would end probing for good
         # How far reports foretell waits, learned by regression; late, frozen or false ones fall to 0.
-        self.squares = 20.0
-        self.products = 10.0
+        self.squares, self.products = 20.0, 10.0
         # How much each own hand-off there lengthens an answer: less than a whole one where answers wait
         # on others for most of their time.
-        self.own_squares = 20.0
-        self.own_products = 20.0
+        self.own_squares = self.own_products = 20.0
         # Pooled, so that a backend never used, or long ago, is guessed well: how slow its kind is, and how
         # long queues are in its zone.
         self.kinds: dict[int, Trend] = {}
@@ -570,9 +570,12 @@
         return self.soundness.capacity(b, now) * (1.0 - self.soundness.distrust(b, now))
 
     def view(self, b: Backend, now: Time) -> float:
-        """The time an answer from there is expected to take, in times of one with nothing ahead."""
-        trust = 1.0 - self.soundness.distrust(b, now)
-        return (1.0 + self.queue(b, now)) * self.pace(b, now) / max(0.05, trust)
+        """The time an answer from there is expected to take, in times of one with nothing ahead. Kept for the
+        passage, in which the stages ask for it several times."""
+        if b.id not in self.views:
+            trust = 1.0 - self.soundness.distrust(b, now)
+            self.views[b.id] = (1.0 + self.queue(b, now)) * self.pace(b, now) / max(0.05, trust)
+        return self.views[b.id]
 
     def out(self, p: Passage) -> bool:
         choices = p.choices
@@ -973,6 +976,7 @@
 
     def _route(self, wi: WorkItem, now: Time, extra: bool = False) -> None:
         p = Passage(wi, now, extra=extra)
+        self.memory.views.clear()
         p.favoured = self.keys.preferred(wi.key) if wi.key is not None else []
         # What the effect allows and what is sound goes into the look around, so that a sample has both.
         p.choices = self.facts.sample(
--- a/src/nettledeal/net/protocol/client.py
+++ b/src/nettledeal/net/protocol/client.py
@@ -23,6 +23,7 @@
 class Parcel:
     """A work item as it came: what goes on unchanged, and what its decisions go by."""
 
+    name: bytes  # the client's id of it
     method: bytes
     target: bytes
     head: bytes  # the lines of its head that go on, the client's id among them: it may repeat
@@ -71,9 +72,11 @@
         method = message.method
         if method in _NOT_PASSED_ON:
             raise Malformed(HTTPStatus.NOT_IMPLEMENTED, f"{method.decode()} is not passed on")
-        if not headers.get(b"x-request-id"):
+        name = headers.get(b"x-request-id")
+        if not name:
             raise Malformed(HTTPStatus.BAD_REQUEST, "X-Request-ID is missing")
         parcel = Parcel(
+            name=name,
             method=method,
             target=message.url,
             head=message.passed_on(b"x-timeout-ms"),
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -72,6 +72,7 @@
         self.subscribe = subscribe
         self.queue: SimpleQueue = SimpleQueue()
         self.held: dict[int, Held] = {}
+        self.names: set[bytes] = set()  # what clients call those that are open
         self.offered = 0  # work items given an id so far
         self.waiting = 0  # of which still in the queue
         self.wake: Time | None = None
@@ -86,6 +87,11 @@
 
     def offer(self, parcel: Parcel, at: Time, slot: Slot) -> int | None:
         """The work item's id here, or None if it has got its answer at once."""
+        fault = self._unfit(parcel)
+        if fault is not None:
+            self.counters["requests unfit"] += 1
+            slot.put(fault)
+            return None
         if self.waiting + len(self.held) >= self.most:
             # Nothing has been sent for it, so a deferral promises nothing that isn't so.
             self.counters["deferred at the door"] += 1
@@ -97,9 +103,17 @@
         slot.by = at + wait
         self.offered += 1
         self.waiting += 1
+        self.names.add(parcel.name)
         self.queue.put((self._taken, (self.offered, parcel, at, slot)))
         return self.offered
 
+    def _unfit(self, parcel: Parcel) -> HTTPStatus | None:
+        """What no backend could use costs them nothing."""
+        if parcel.category and self.categories and parcel.category not in self.categories:
+            return HTTPStatus.BAD_REQUEST
+        # For a backend it would be the same one, begun twice at once; and no deferral, as that one may run.
+        return HTTPStatus.CONFLICT if parcel.name in self.names else None
+
     def gone(self, id: int) -> None:
         self.queue.put((self._gone, (id,)))
 
@@ -292,5 +306,6 @@
     def _close(self, id: int) -> None:
         """Answered, or its client is gone: what is still out for it ends, or it would be sent afterwards."""
         held = self.held.pop(id)
+        self.names.discard(held.parcel.name)
         for errand in held.out.values():
             errand.drop()
--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -20,12 +20,21 @@
 from nettledeal.net.transport.buffers import Full, Inbox, Stock
 from nettledeal.net.transport.sockets import opened, peek, send_all, smooth, wait_for
 
-# A request that is begun comes whole within this time, an answer is read within it.
-SLOW = 10.0
-# A connection on which nothing has come for so long is closed.
-SILENT = 300.0
+# A request comes whole within this time, or its client is told and the place is free again: from the accept,
+# or from its first byte on a connection used before. From the last byte, a trickle would hold the place.
+WHOLE = 2.0
+# A connection that has been served rests for so long; the shorter time while half of the places are taken.
+RESTS, RESTS_SHORT = 60.0, 2.0
+# How long an answer may take to be read once nobody waits for it any more.
+BEYOND = SECOND
+# What still comes of a request that was turned away is read for so long and so far, no further.
+DRAINS, DRAINED = 0.3, 16
 # A request that takes longer to come than this gives up its place where places are short.
 DAWDLES = SECOND
+# Time enough for a client that has just connected to begin.
+NEW = SECOND // 10
+
+_spill = bytearray(64 * 1024)  # where that goes; nobody looks at it
 
 
 @dataclass(slots=True, eq=False)
@@ -54,6 +63,8 @@
         self.sock = sock
         self.welcome = welcome
         self.inbox = Inbox(listener.stock, most_message(MOST_BODY))
+        self.since = listener.clock.came()  # the accept, then the first byte of each request
+        self.served = False
         self.read_at: Time = 0
         self.stirred = Event()
         self.leaving = False
@@ -106,6 +117,7 @@
             self._refuse(Malformed(HTTPStatus.INTERNAL_SERVER_ERROR, "a fault of the agent"))
             return False
         self.inbox.next(used)
+        self.served = True
         return self._keeps(asking)
 
     def _keeps(self, asking: Asking) -> bool:
@@ -115,30 +127,41 @@
         told = False
         if not self.inbox.filled and not self._stirs():
             return None
-        self.listener.reading[self] = self.listener.clock.now()
+        now = self.listener.clock.came()
+        if self.served:
+            self.since = now
+        self.listener.reading[self] = now
+        left = self._left()
         try:
-            with gevent.Timeout(SLOW, Malformed(HTTPStatus.REQUEST_TIMEOUT, "it did not come whole")):
+            with gevent.Timeout(left, Malformed(HTTPStatus.REQUEST_TIMEOUT, "it did not come whole")):
                 while (used := asking.look(self.inbox.buffer, self.inbox.filled)) is None:
                     if asking.expects and not told:
                         told = True
                         send_all(self.sock, [b"HTTP/1.1 100 Continue\r\n\r\n"])
                     if not self.inbox.read(self.sock, asking.whole):
                         return None
-                    self.read_at = self.listener.clock.now()
+                    self.read_at = self.listener.clock.came()
         finally:
             self.listener.reading.pop(self, None)
         return used
 
+    def _left(self) -> float:
+        """Until a request is to be whole, in seconds."""
+        return max(0.0, WHOLE - (self.listener.clock.now() - self.since) / SECOND)
+
     def _stirs(self) -> bool:
         """Waits between requests; whether another one begins."""
-        self.listener.idle[self] = None
+        listener = self.listener
+        waiting = listener.idle if self.served else listener.strangers
+        waiting[self] = listener.clock.now()
         # Bytes stir it too: left as it was, the next wait would end at once and pass for silence.
         self.stirred.clear()
+        rests = RESTS_SHORT if 2 * listener.budget.held > listener.budget.most else RESTS
         try:
             if not self.leaving:
-                wait_for(self.stirred, self.sock, SILENT if self.welcome else SLOW)
+                wait_for(self.stirred, self.sock, rests if self.served else self._left())
         finally:
-            self.listener.idle.pop(self, None)
+            waiting.pop(self, None)
         # What has begun to come is read, whoever wants the place: it would be lost.
         return bool(peek(self.sock))
 
@@ -182,18 +205,20 @@
         head = answer(
             status, slot.body, keep=self._keeps(asking), come_back=slot.come_back, lines=slot.lines
         )
-        with gevent.Timeout(SLOW):
+        left = max(0, slot.by - self.listener.clock.now()) + BEYOND
+        with gevent.Timeout(left / SECOND):
             send_all(self.sock, [head, slot.body])
 
     def _refuse(self, fault: Malformed) -> None:
         body = f"{fault}\n".encode("ascii", "replace")
-        with gevent.Timeout(SLOW):
+        with gevent.Timeout(BEYOND / SECOND):
             send_all(self.sock, [answer(fault.status, body, keep=False), body])
             # Closing with bytes unread would send a reset, and that could overtake the answer.
             self.sock.shutdown(socket.SHUT_WR)
-        with gevent.Timeout(1.0, False):
-            while self.sock.recv(4096):
-                pass
+        with gevent.Timeout(DRAINS, False):
+            for _ in range(DRAINED):
+                if not self.sock.recv_into(_spill):
+                    break
 
 
 class Listener:
@@ -213,7 +238,9 @@
         self.overdue = overdue
         self.draining = False
         self.guests: dict[Guest, None] = {}
-        self.idle: dict[Guest, None] = {}  # between requests, the longest first
+        # Between requests and before the first one, since when; the longest first.
+        self.idle: dict[Guest, Time] = {}
+        self.strangers: dict[Guest, Time] = {}
         self.reading: dict[Guest, Time] = {}  # within one, since when
         self.sock = _bound(address)
 
@@ -242,26 +269,25 @@
         self.budget.give()
 
     def _make_room(self) -> bool:
-        """Whether one that holds no work item has given up its place."""
-        guest = next(iter(self.idle), None)
-        if guest is None and self.reading:
-            slowest, since = next(iter(self.reading.items()))
-            if self.clock.now() - since > DAWDLES:
-                guest = slowest
-        if guest is None:
-            return False
-        guest.leave()
-        gevent.sleep(0)
-        return not self.budget.full
+        """Whether one that holds no work item has given up its place: who has been served stays longest, or
+        hundreds that say nothing would drive out the usual clients."""
+        now = self.clock.now()
+        for waiting, least in ((self.strangers, NEW), (self.reading, DAWDLES), (self.idle, 0)):
+            guest, since = next(iter(waiting.items()), (None, now))
+            if guest is not None and now - since >= least:
+                guest.leave()
+                gevent.sleep(0)
+                return not self.budget.full
+        return False
 
     @property
     def busy(self) -> bool:
         """Whether somebody sends a request, waits for an answer or is being sent one."""
-        return len(self.guests) > len(self.idle)
+        return len(self.guests) > len(self.idle) + len(self.strangers)
 
     def close_idle(self) -> None:
         """Ends what is between requests; a client that wants more comes anew."""
-        for guest in list(self.idle):
+        for guest in [*self.idle, *self.strangers]:
             guest.leave()
 
     def close(self) -> None:
--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -74,9 +74,9 @@
                     # Whatever it was, whoever waits for this hand-off is told.
                     self.pool.counters.fault(f"hand-off to {written(self.pool.address)}")
                     reply = self._broken(self.errand)
-                # By the connection's own time: what the answer then waits for its turn within the agent must
-                # not pass for the backend's slowness.
-                reply.took = self.pool.clock.now() - begun
+                # By when it came to the connection: what it waits for its turn within the agent, before or
+                # after, must not pass for the backend's slowness.
+                reply.took = max(1, self.pool.clock.came() - begun)
                 errand, self.errand = self.errand, None
                 errand.line = None
                 if keep:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -277,3 +277,14 @@
     # A probe is not counted by its own answer.
     drive.balancer.probed(drive.now, "b0", Outcome.FINISHED, 3, {"outstanding": 1.0})
     assert drive.balancer.facts.backends["b0"].others == 1.0
+
+
+@pytest.mark.parametrize(("queue", "cut"), [(1.0, False), (9.0, True)])
+def test_slowness_that_no_told_queue_explains_cuts_nothing(queue, cut):
+    drive = Drive(fleet((0, 0)))
+    spread(drive, 40, after=100)
+    before = drive.balancer.admission.limit = 3.0
+    for _ in range(40):
+        for ho in hand_offs(drive.take()):
+            drive.back(ho, after=700, report={"outstanding": queue})
+    assert (drive.balancer.admission.limit < before) is cut
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -1,3 +1,5 @@
+import time
+
 import gevent
 import pytest
 from gevent import socket
@@ -105,6 +107,20 @@
         assert ways.send().took >= 300
 
 
+def test_what_came_while_the_agent_was_at_work_is_older_than_it_looks():
+    clock, seen = Clock(), []
+    clock.attend()
+    near, far = socket.socketpair()
+    gevent.spawn(lambda: (far.recv(1), seen.append((clock.came(), clock.now()))))
+    gevent.sleep(0.001)
+    near.sendall(b"x")
+    time.sleep(0.1)  # the loop stands still
+    assert until(lambda: seen)
+    came, now = seen[0]
+    # By half of the time, as it may have come anywhere within.
+    assert now - came >= 400
+
+
 def test_silence_is_a_time_out_and_ends_the_connection():
     far = Far(hush, replies(served()))
     ways = Ways(far.address)
