--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -127,8 +127,7 @@
     def count_open(self, now: Time, change: int = 0) -> None:
         old = exp(-(now - self.open_at) / (1.5 * SECOND))
         self.mean_open = old * self.mean_open + (1 - old) * self.open
-        self.open_at = now
-        self.open += change
+        self.open_at, self.open = now, self.open + change
         if change > 0:
             self.sent_at = now
 
@@ -154,7 +153,7 @@
 
     def sample(self, fits: Callable[[Backend], bool], favoured: list[Backend]) -> list[Backend]:
         """Some backends of home and of elsewhere: favoured, heard from last, and others by chance."""
-        found: list[Backend] = []
+        found = []
         for group, home in ((self.near, True), (self.far, False)):
             some = [b for b in favoured if home and fits(b)]
             for b in self.recent:
@@ -164,7 +163,8 @@
             # Few may fit: a ticket bound to one cell, half a fleet drained. One wider look follows, no more.
             for width in (SAMPLE, 4 * SAMPLE):
                 if width == SAMPLE or len(some) < min(len(group), SAMPLE // 3):
-                    drawn = self.chance.sample(group, width) if len(group) > width else group
+                    few = len(group) <= SAMPLE
+                    drawn = group if few else self.chance.sample(group, min(len(group), width))
                     some += [b for b in drawn if b not in some and fits(b)]
             del some[SAMPLE:]
             found += some
@@ -219,9 +219,8 @@
     @staticmethod
     def may_defer(wi: WorkItem) -> bool:
         """A deferral says that retrying is harmless: so it must be, whatever has run by now."""
-        if wi.category.effect is Effect.RERUNNABLE:
-            return True
-        if wi.category.effect is Effect.TICKETED and wi.category.group is Group.ALL:
+        effect = wi.category.effect
+        if effect is Effect.RERUNNABLE or effect is Effect.TICKETED and wi.category.group is Group.ALL:
             return True
         return all(ho.outcome is not None and ho.outcome.ran_not for ho in wi.sent)
 
@@ -301,15 +300,18 @@
         """Learn how many own hand-offs the backends bear: fewer while answers are slow, more while not."""
         if r.wi is None or r.outcome in (Outcome.UNSENT, Outcome.RECALLED, Outcome.UNREACHABLE):
             return
-        category = r.wi.category
+        category, b = r.wi.category, r.ho.backend
         expected = self.facts.expected(category, r.wi.work)
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
-        if r.outcome is Outcome.FINISHED and "outstanding" in r.report and self.memory.belief > 0.1:
-            # What no queue there explains comes of the way, or of the agent's own lateness: no cut cures it.
-            sample = min(sample, 2.0 + 1.5 * r.report["outstanding"])
+        # What no queue there explains comes of the way, or of the agent's own lateness: no cut cures it. The
+        # last reading tells where the backend has answered others since.
+        told = r.report.get("outstanding", 2 * CROWD)
+        if not r.report and b.read_at is not None and b.heard_at >= r.ho.at:
+            told = b.others + len(b.own) + 1
+        if r.outcome is not Outcome.FULL and self.memory.belief > 0.1:
+            sample = min(sample, 2.0 + 1.5 * told)
         # By the time gone by: what an agent with a trickle of answers learns must not come too late.
-        since = (r.now - self.learned_at) / SECOND
-        self.learned_at = r.now
+        since, self.learned_at = (r.now - self.learned_at) / SECOND, r.now
         self.slowdown += max(0.05, min(0.5, 0.15 * since)) * (sample - self.slowdown)
         # A heavy work item may take most of its due time with nothing ahead: no backend is slow by that.
         bearable = max(1.5, min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected))
@@ -543,9 +545,8 @@
 
     def known(self, b: Backend, now: Time) -> float:
         """How much the memory of a backend is worth: 1 when fresh, 0 when never heard from."""
-        if b.pinned is not None:
-            return 1.0
-        return 0.0 if b.read_at is None else exp(-(now - b.read_at) / KNOWN)
+        known = 0.0 if b.read_at is None else exp(-(now - b.read_at) / KNOWN)
+        return known if b.pinned is None else 1.0
 
     def _faded(self, b: Backend, now: Time) -> float:
         """What has been learned of a backend's speed fades to what its kind and its zone show, or one that
@@ -943,10 +944,8 @@
                 if wi is not None and wi.asking:
                     wi.asking = 0
                     self._route(wi, now)
-                continue
-            if wi is None or wi.streaming or wi.sent[number].outcome is not None:
-                continue
-            self._overdue(wi, wi.sent[number], now)
+            elif wi is not None and not wi.streaming and wi.sent[number].outcome is None:
+                self._overdue(wi, wi.sent[number], now)
         return self._step(now)
 
     def _overdue(self, wi: WorkItem, ho: Sent, now: Time) -> None:
--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -19,6 +19,9 @@
 from nettledeal.net.transport.buffers import Full, Inbox, Stock
 from nettledeal.net.transport.sockets import opened, peek, send_all, smooth, wait_for
 
+# The least patience for a connection to come up: the agent itself may be late by as much.
+QUICK = SECOND * 3 // 100
+
 
 @dataclass(slots=True, eq=False)
 class Errand:
@@ -143,9 +146,15 @@
 
     def _connect(self) -> None:
         pool = self.pool
+        begun = pool.clock.now()
         self.sock = opened(pool.address)
-        self.sock.settimeout(pool.connect_within / SECOND)
-        self.sock.connect(pool.address)
+        self.sock.settimeout(pool.pools.patience / SECOND)
+        try:
+            self.sock.connect(pool.address)
+        except TimeoutError:
+            pool.pools.connected(None)
+            raise
+        pool.pools.connected(max(1, pool.clock.came() - begun))
         self.sock.settimeout(None)
         smooth(self.sock)
         pool.counters["backend connections opened"] += 1
@@ -159,7 +168,6 @@
         self.address = address
         self.clock = pools.clock
         self.counters = pools.counters
-        self.connect_within = pools.connect_within
         self.rest_for = pools.rest_for
         self.resting: list[Line] = []
         self.lines: dict[Line, None] = {}
@@ -219,12 +227,28 @@
         self.stock = stock
         self.longest = longest  # the longest body of an answer
         self.connect_within = connect_within
+        self.slowest: Time | None = None  # to come up, of late
         # Well before the backend's own limit: what is written to a connection that it has just closed ends
         # as a reset, and nobody knows whether it ran.
         self.rest_for = max(1, idle_limit // 2)
         self.pools: dict[str, Pool] = {}
         self.resting: dict[Line, None] = {}  # the one that has rested longest first
 
+    @property
+    def patience(self) -> Time:
+        """How long a connection may take to come up: by what others took, as one lost on its way comes much
+        later or never, while its work item could be on time elsewhere; the told limit at most."""
+        if self.slowest is None:
+            return self.connect_within
+        return min(self.connect_within, max(QUICK, 8 * self.slowest))
+
+    def connected(self, took: Time | None) -> None:
+        """After `took`, or not within the patience, which then grows: the way may have become longer."""
+        if took is not None:
+            self.slowest = max(took, (self.slowest or 0) * 3 // 4)
+        elif self.slowest is not None:
+            self.slowest = min(self.connect_within, max(QUICK // 8, self.slowest) * 5 // 4)
+
     def place(self, backend: str, address: Address) -> None:
         pool = self.pools.get(backend)
         if pool is not None and pool.address == address:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -288,3 +288,19 @@
         for ho in hand_offs(drive.take()):
             drive.back(ho, after=700, report={"outstanding": queue})
     assert (drive.balancer.admission.limit < before) is cut
+
+
+@pytest.mark.parametrize(("meanwhile", "cut"), [(True, False), (False, True)])
+def test_what_a_backend_that_answers_others_leaves_open_is_no_jam(meanwhile, cut):
+    drive = Drive(fleet((0,)))
+    spread(drive, 20, after=100)
+    drive.balancer.probed(drive.now, "b0", Outcome.FINISHED, 3, {"outstanding": 0.0})
+    admission = drive.balancer.admission
+    before = admission.limit = 5.0
+    for _ in range(20):
+        (lost,) = hand_offs(drive.take(1))
+        if meanwhile:
+            (other,) = hand_offs(drive.take(1))
+            drive.back(other, after=100, report={"outstanding": 1.0})
+        drive.back(lost, Outcome.OVERDUE, after=5000)
+    assert (admission.limit < before) is cut
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -8,6 +8,7 @@
 from nettledeal.model import Outcome
 from nettledeal.net.clock import Clock
 from nettledeal.net.counters import Counters
+from nettledeal.net.transport import pools as pools_module
 from nettledeal.net.transport.budget import Budget, shares
 from nettledeal.net.transport.buffers import Stock
 from nettledeal.net.transport.pools import Errand, Pools
@@ -147,6 +148,35 @@
     assert Ways(sock.getsockname()).send(wait=2000).outcome is Outcome.UNREACHABLE
 
 
+def test_patience_for_a_connection_goes_by_what_others_took_and_grows_when_it_was_too_short():
+    pools = Ways(("127.0.0.1", 9)).pools
+    assert pools.patience == SECOND
+    pools.connected(5)
+    assert pools.patience == pools_module.QUICK
+    for _ in range(40):
+        pools.connected(None)
+    assert pools.patience == SECOND
+    pools.connected(200)
+    for _ in range(20):
+        pools.connected(60)
+    assert pools.patience == 480
+
+
+def test_a_connection_lost_on_its_way_is_given_up_for_another_in_time():
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen(0)
+    keep = [socket.socket() for _ in range(4)]
+    for other in keep:
+        gevent.spawn(other.connect, sock.getsockname())
+    gevent.sleep(0.05)
+    ways = Ways(Far(replies(served())).address)
+    ways.send()
+    ways.pools.place("lost", sock.getsockname())
+    reply = ways.send(backend="lost", wait=20 * SECOND)
+    assert reply.outcome is Outcome.UNREACHABLE and reply.took < ways.pools.connect_within
+
+
 def test_a_body_not_wholly_written_never_ran():
     # A peer that reads nothing, and more than the kernel takes: the last byte was never handed over.
     ways = Ways(Far(lambda peer: gevent.sleep(60)).address)
