--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -25,6 +25,8 @@
 WHOLE = 2.0
 # A connection that has been served rests for so long; the shorter time while half of the places are taken.
 RESTS, RESTS_SHORT = 60.0, 2.0
+# From this part of the places on, each new connection ends the one that has rested longest.
+ROOMY = 0.6
 # How long an answer may take to be read once nobody waits for it any more.
 BEYOND = SECOND
 # What still comes of a request that was turned away is read for so long and so far, no further.
@@ -260,6 +262,8 @@
                 gevent.sleep(0.01)
                 continue
             guest = Guest(self, sock, welcome=not self.budget.full or self._make_room())
+            if self.budget.held >= ROOMY * self.budget.most:
+                self._end_longest()
             self.budget.take()
             self.guests[guest] = None
             gevent.spawn(guest.run)
@@ -280,6 +284,13 @@
                 return not self.budget.full
         return False
 
+    def _end_longest(self) -> None:
+        """Of those that have been served and rest. Clients may hold only so many connections, too: with all of
+        them resting for good they could not ask any more, and nobody would come to make room for."""
+        guest = next(iter(self.idle), None)
+        if guest is not None:
+            guest.leave()
+
     @property
     def busy(self) -> bool:
         """Whether somebody sends a request, waits for an answer or is being sent one."""
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -210,6 +210,18 @@
     assert bool(door.listener.guests) is not closed
 
 
+def test_connections_that_rest_for_good_leave_places_to_others():
+    door = Door(most=10)
+    peers = []
+    for n in range(30):
+        peers.append(door.connect())
+        assert peers[-1].send(asked(b"r%d" % n)).hear().endswith(b"hi")
+    # Fewer than there are places, and those that asked last.
+    assert until(lambda: len(door.listener.guests) <= 7)
+    assert peers[0].hear() == b""
+    assert peers[-1].send(asked(b"more")).hear().endswith(b"hi")
+
+
 def test_a_long_body_is_refused_by_its_head_alone():
     door = Door()
     client = door.connect().send(asked(body=b"").replace(b"X-Req", b"Content-Length: 60000000\r\nX-Req"))
