--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -285,8 +285,8 @@
         return False
 
     def _end_longest(self) -> None:
-        """Of those that have been served and rest. Clients may hold only so many connections, too: with all of
-        them resting for good they could not ask any more, and nobody would come to make room for."""
+        """Of those that have been served and rest. Clients may hold only so many connections, too: with all
+        of them resting for good they could not ask any more, and nobody would come to make room for."""
         guest = next(iter(self.idle), None)
         if guest is not None:
             guest.leave()
