Those that say nothing give up their places before the served ones do, also at six tenths

The first form of ending what rests longest let silent connections drive out a usual client: the test of hundreds that say nothing failed on it. Silent ones now come first there, too.

--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -285,11 +285,15 @@
         return False
 
     def _end_longest(self) -> None:
-        """Of those that have been served and rest. Clients may hold only so many connections, too: with all
-        of them resting for good they could not ask any more, and nobody would come to make room for."""
-        guest = next(iter(self.idle), None)
-        if guest is not None:
-            guest.leave()
+        """Of those that say nothing, or else of those served that rest. Clients may hold only so many
+        connections, too: with all of them resting for good they could not ask any more, and nobody would
+        come to make room for."""
+        now = self.clock.now()
+        for waiting, least in ((self.strangers, NEW), (self.idle, 0)):
+            guest, since = next(iter(waiting.items()), (None, now))
+            if guest is not None and now - since >= least:
+                guest.leave()
+                return
 
     @property
     def busy(self) -> bool:
