One place that ends a client's connection for room; a message's end and a loss told from one thing each

Listener._make_room and _end_longest walked the same groups in two copies of one loop; both call _end_first now. Message._look worked out the end that Message.whole tells. Lookout._lost asks for what its comment says: no former watch, and the one that counts does not stand. One difference, in a race only: a watch that was just ended can no longer tell of a loss while its former one stands. Two tests filled a backlog in the same six lines. Comments that spoke of connections and sockets only now say what else gives way and is shared.

Looked at and left: the equal-shaped parameter lists of Listener and Watch, and the rows of a table in test_rules.

--- a/src/nettledeal/net/protocol/framing.py
+++ b/src/nettledeal/net/protocol/framing.py
@@ -158,7 +158,7 @@
                 self.parser = None
         if self.chunked:
             return self._chunks(buffer, filled)
-        end = self.head + (self.length or 0)
+        end = self.whole
         if filled < end:
             return None
         self.body = memoryview(buffer)[self.head : end].toreadonly()
--- a/src/nettledeal/net/transport/budget.py
+++ b/src/nettledeal/net/transport/budget.py
@@ -1,4 +1,4 @@
-"""How many sockets each side of the agent may hold, so that none can take all of them."""
+"""How many sockets and how much memory each side of the agent may hold, so that none can take all."""
 
 from __future__ import annotations
 
--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -25,7 +25,7 @@
 WHOLE = 2.0
 # A connection that has been served rests for so long; the shorter time while half of the places are taken.
 RESTS, RESTS_SHORT = 60.0, 2.0
-# From this part of the places on, each new connection ends the one that has rested longest.
+# From this part of the places on, each new connection ends one that is silent or has rested longest.
 ROOMY = 0.6
 # How long an answer may take to be read once nobody waits for it any more.
 BEYOND = SECOND
@@ -224,7 +224,7 @@
 
 
 class Listener:
-    """Accepts clients within its budget; the one that has been idle longest makes room."""
+    """Accepts clients within its budget; those that hold no work item make room."""
 
     def __init__(
         self, address: Address, clock: Clock, counters: Counters, budget: Budget, stock: Stock,
@@ -275,25 +275,26 @@
     def _make_room(self) -> bool:
         """Whether one that holds no work item has given up its place: who has been served stays longest, or
         hundreds that say nothing would drive out the usual clients."""
-        now = self.clock.now()
-        for waiting, least in ((self.strangers, NEW), (self.reading, DAWDLES), (self.idle, 0)):
-            guest, since = next(iter(waiting.items()), (None, now))
-            if guest is not None and now - since >= least:
-                guest.leave()
-                gevent.sleep(0)
-                return not self.budget.full
-        return False
+        if not self._end_first((self.strangers, NEW), (self.reading, DAWDLES), (self.idle, 0)):
+            return False
+        gevent.sleep(0)
+        return not self.budget.full
 
     def _end_longest(self) -> None:
         """Of those that say nothing, or else of those served that rest. Clients may hold only so many
         connections, too: with all of them resting for good they could not ask any more, and nobody would
         come to make room for."""
+        self._end_first((self.strangers, NEW), (self.idle, 0))
+
+    def _end_first(self, *groups: tuple[dict[Guest, Time], Time]) -> bool:
+        """Whether there was one to be told to leave: in each group the longest one, if for so long."""
         now = self.clock.now()
-        for waiting, least in ((self.strangers, NEW), (self.idle, 0)):
+        for waiting, least in groups:
             guest, since = next(iter(waiting.items()), (None, now))
             if guest is not None and now - since >= least:
                 guest.leave()
-                return
+                return True
+        return False
 
     @property
     def busy(self) -> bool:
--- a/src/nettledeal/net/transport/watch.py
+++ b/src/nettledeal/net/transport/watch.py
@@ -169,5 +169,5 @@
         if watch is self.former:
             self.former = None
         # While either of them stands the list is not lost.
-        if watch is self.watch and self.former is None or watch is not self.watch and not self.watch.stands:
+        if self.former is None and not self.watch.stands:
             self.lost()
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -49,6 +49,18 @@
     gevent.sleep(60)
 
 
+def swallows():
+    """A socket to which no further connection comes up, and what fills its backlog."""
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen(0)
+    keep = [socket.socket() for _ in range(4)]
+    for other in keep:
+        gevent.spawn(other.connect, sock.getsockname())
+    gevent.sleep(0.05)
+    return sock, keep
+
+
 def hang_up(peer):
     peer.hear()
     peer.sock.close()
@@ -138,13 +150,7 @@
 
 
 def test_a_connection_that_never_comes_up_means_it_never_ran():
-    sock = socket.socket()
-    sock.bind(("127.0.0.1", 0))
-    sock.listen(0)
-    keep = [socket.socket() for _ in range(4)]  # fills the backlog: further ones hang
-    for other in keep:
-        gevent.spawn(other.connect, sock.getsockname())
-    gevent.sleep(0.05)
+    sock, _keep = swallows()
     assert Ways(sock.getsockname()).send(wait=2000).outcome is Outcome.UNREACHABLE
 
 
@@ -163,13 +169,7 @@
 
 
 def test_a_connection_lost_on_its_way_is_given_up_for_another_in_time():
-    sock = socket.socket()
-    sock.bind(("127.0.0.1", 0))
-    sock.listen(0)
-    keep = [socket.socket() for _ in range(4)]
-    for other in keep:
-        gevent.spawn(other.connect, sock.getsockname())
-    gevent.sleep(0.05)
+    sock, _keep = swallows()
     ways = Ways(Far(replies(served())).address)
     ways.send()
     ways.pools.place("lost", sock.getsockname())
