--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -84,9 +84,10 @@
             reports=told.setting("feedback.via") != "silent",
             subscribe=self._subscribe,
         )
+        self.known = self._known()
         self.lookout = Lookout(
             told.discovery, Random(told.seed + 1), self.counters, self.catalogue, self.owner.news,
-            self.owner.lost,
+            self.owner.lost, self.known.base if self.known else None,
         )
         waits = [settings.get(f"categories.{n}.expiry", 0) for n in categories.values()]
         self.longest = max(waits, default=SECOND)
@@ -119,7 +120,8 @@
 
     def run(self) -> None:
         self.clock.attend()
-        self.owner.start(self._known())
+        self.owner.start(self.known)
+        self.known = None
         gevent.spawn(self.owner.run)
         if self.told.setting("discovery") == "pushed":
             self.lookout.start()
--- a/src/nettledeal/net/protocol/catalogue.py
+++ b/src/nettledeal/net/protocol/catalogue.py
@@ -46,6 +46,11 @@
     places: dict[str, Address]
     unread: int = 0  # entries that make no sense
 
+    @property
+    def base(self) -> int | None:
+        """The version from which changes make up the list; one with holes would keep them."""
+        return self.generation if self.whole and not self.unread else None
+
 
 class Catalogue:
     """Reads lines by the names of zones and kinds that the settings give."""
--- a/src/nettledeal/net/protocol/discovery.py
+++ b/src/nettledeal/net/protocol/discovery.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+from http import HTTPStatus
+
 import httptools
 
 from nettledeal.net.protocol.catalogue import Garbled
@@ -19,13 +22,30 @@
     return _ASK.format(f"?watch=1&from={version}", host).encode("ascii")
 
 
+class Declined(Exception):
+    """Discovery has more callers than it can answer; what it told before still stands."""
+
+    def __init__(self, status: int, come_back: float | None):
+        super().__init__(f"answered {status}")
+        self.come_back = come_back  # in seconds, where it says so
+
+
 class Told:
     """An answer of discovery, which may have no end; read as far as it has come."""
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.rest = bytearray()
-        self.ended = False
+        self.headed = self.ended = False
+        self.come_back: float | None = None
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"retry-after":
+            with suppress(ValueError):
+                self.come_back = min(60.0, max(0.0, float(value)))
+
+    def on_headers_complete(self) -> None:
+        self.headed = True
 
     def on_body(self, body: bytes) -> None:
         self.rest += body
@@ -39,7 +59,10 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
             raise Garbled(f"no HTTP: {fault}") from None
         status = self.parser.get_status_code()
-        if status and status != 200:
+        if status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
+            if self.headed:
+                raise Declined(status, self.come_back)
+        elif status and status != HTTPStatus.OK:
             raise Garbled(f"answered {status}")
         if len(self.rest) > MOST_LINE:
             raise Garbled("a line without end")
--- a/src/nettledeal/net/transport/watch.py
+++ b/src/nettledeal/net/transport/watch.py
@@ -14,6 +14,7 @@
 from nettledeal.net.counters import Counters
 from nettledeal.net.protocol import discovery
 from nettledeal.net.protocol.catalogue import Catalogue, Garbled, News
+from nettledeal.net.protocol.discovery import Declined
 from nettledeal.net.transport.sockets import opened, send_all, smooth
 
 # A line comes every two seconds. What is said while nobody listens counts as told a few seconds later,
@@ -22,26 +23,51 @@
 CONNECT = 1.0
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 1.0
+# Turned away: callers that come back as often as after a loss would all be turned away again.
+FIRST_DECLINED = 0.25
+LONGEST_DECLINED = 4.0
 
 log = structlog.get_logger()
 
 
+class Pauses:
+    """How long to wait before the next call; no two agents of a fleet wait alike."""
+
+    def __init__(self, chance: Random):
+        self.chance = chance
+        self.heard()
+
+    def heard(self) -> None:
+        self.pause = FIRST_PAUSE
+
+    def next(self, declined: Declined | None) -> float:
+        longest = LONGEST_PAUSE
+        if declined is not None:
+            # Each of them halves its calls while they are too many, and comes when it is told to.
+            longest = LONGEST_DECLINED
+            self.pause = max(self.pause, FIRST_DECLINED, declined.come_back or 0.0)
+        pause = self.pause * (0.5 + self.chance.random())
+        self.pause = min(2 * self.pause, longest)
+        return pause
+
+
 class Watch:
     """The watch at one address."""
 
     def __init__(
         self, address: Address, chance: Random, counters: Counters, catalogue: Catalogue,
-        news: Callable[[Watch, News], None], lost: Callable[[Watch], None],
+        news: Callable[[Watch, News], None], lost: Callable[[Watch], None], version: int | None = None,
     ):
         self.address = address
-        self.chance = chance
+        self.pauses = Pauses(chance)
         self.counters = counters
         self.catalogue = catalogue
         self.news = news
         self.lost = lost
-        # Heard last. None asks for the whole list: at the start, as what was known then may be old, and
-        # after a line that could not be read, as the next ones leave out what it said.
-        self.version: int | None = None
+        # Heard last. None asks for the whole list: at a start with no list known, and after a line that could
+        # not be read, as the next ones leave out what it said. What was known at the start may be old: what
+        # has changed since then is much less to ask for, where all agents start at once.
+        self.version = version
         self.stands = False  # the list has been heard, and not been lost since
         self.followed = False  # another one takes its place: once lost, it does not come back
         self.greenlet: gevent.Greenlet | None = None
@@ -54,18 +80,23 @@
             self.greenlet.kill(block=False)
 
     def _run(self) -> None:
-        pause = FIRST_PAUSE
         while not self.followed:
+            declined = None
             try:
                 if self.version is None:
                     self._fetch()
                 for line in self._watch():
-                    pause = FIRST_PAUSE
+                    self.pauses.heard()
                     self.stands = True
                     if line:
                         self._read(line)
             except OSError as fault:
                 self.counters[f"list lost: {fault}"] += 1
+            except Declined as fault:
+                # No fault of what was told so far: asking for all of it again, by two calls where one was too
+                # many, would keep discovery too busy to answer any agent of a large fleet.
+                self.counters["list calls declined"] += 1
+                declined = fault
             except Garbled as fault:
                 self.version = None
                 self.counters["list lines garbled"] += 1
@@ -76,8 +107,7 @@
             self.stands = False
             self.lost(self)
             # Agents that lose the list together must not all come back in the same instant.
-            gevent.sleep(pause * (0.5 + self.chance.random()))
-            pause = min(2 * pause, LONGEST_PAUSE)
+            gevent.sleep(self.pauses.next(declined))
 
     def _read(self, line: bytes | bytearray) -> None:
         news = self.catalogue.news(line)
@@ -129,12 +159,12 @@
 
     def __init__(
         self, address: Address, chance: Random, counters: Counters, catalogue: Catalogue,
-        news: Callable[[News], None], lost: Callable[[], None],
+        news: Callable[[News], None], lost: Callable[[], None], version: int | None = None,
     ):
         self.parts = chance, counters, catalogue, self._heard, self._lost
         self.news = news
         self.lost = lost
-        self.watch = Watch(address, *self.parts)
+        self.watch = Watch(address, *self.parts, version)
         self.former: Watch | None = None
         self.started = False
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -146,6 +146,8 @@
     line = b'{"generation":4,"reset":true,"instances":[' + entry + b"," + other + b"]}"
     news = Catalogue(["a", "b"], ["m2"]).news(line)
     assert (news.generation, news.whole, news.unread) == (4, True, listing is None)
+    # Changes are asked for from there, unless it has holes that none of them would fill.
+    assert news.base == (4 if listing else None)
     assert news.listings[0] == listing if listing else len(news.listings) == 1
     assert news.places["s2"] == ("10.1.0.19", 7070)
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -7,8 +7,9 @@
 
 from nettledeal.net.counters import Counters
 from nettledeal.net.protocol.catalogue import Catalogue
+from nettledeal.net.protocol.discovery import Declined, Told
 from nettledeal.net.transport import watch as watch_module
-from nettledeal.net.transport.watch import Lookout
+from nettledeal.net.transport.watch import Lookout, Pauses
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -42,13 +43,13 @@
 
 
 class Follow:
-    def __init__(self, *scripts):
+    def __init__(self, *scripts, version=None):
         self.far = Far(*scripts)
         self.news, self.lost = [], []
         self.counters = Counters()
         self.lookout = Lookout(
             self.far.address, Random(1), self.counters, Catalogue([], []), self.news.append,
-            lambda: self.lost.append(1),
+            lambda: self.lost.append(1), version,
         )
         self.lookout.start()
 
@@ -60,6 +61,7 @@
 @pytest.fixture(autouse=True)
 def hurried(monkeypatch):
     monkeypatch.setattr(watch_module, "FIRST_PAUSE", 0.001)
+    monkeypatch.setattr(watch_module, "FIRST_DECLINED", 0.001)
     monkeypatch.setattr(watch_module, "SILENCE", 0.2)
 
 
@@ -104,6 +106,49 @@
     assert follow.lost
 
 
+def test_what_was_known_at_the_start_is_watched_from_with_one_call():
+    follow = Follow(says(CHUNKED + chunk(line(42, "s3") + b"\n")), version=41)
+    assert follow.heard(1) == [(42, False, 1)]
+    assert b"?watch=1&from=41 " in follow.far.peers[0].heard[0]
+
+
+@pytest.mark.parametrize("status", [b"503 Service Unavailable", b"429 Too Many Requests"])
+def test_turned_away_it_comes_back_with_one_call_from_where_it_was(status):
+    away = replies(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % status)
+    follow = Follow(away, away, says(CHUNKED + chunk(line(42, "s3") + b"\n")), version=41)
+    assert follow.heard(1) == [(42, False, 1)]
+    # Not all of the list, by two calls, since nothing told so far is in doubt.
+    assert all(b"?watch=1&from=41 " in peer.heard[0] for peer in follow.far.peers)
+    assert follow.counters["list calls declined"] == 2
+
+
+def test_a_fleet_that_is_turned_away_calls_ever_more_rarely_and_never_in_step():
+    fleet = [Pauses(Random(seed)) for seed in range(40)]
+    away = Declined(503, None)
+    first, *rest = ([pauses.next(away) for pauses in fleet] for _ in range(16))
+    base = watch_module.FIRST_DECLINED
+    assert all(0.5 * base <= pause <= 1.5 * base for pause in first) and len(set(first)) == 40
+    assert min(rest[-1]) >= 0.5 * watch_module.LONGEST_DECLINED
+    assert all(1.25 <= Pauses(Random(seed)).next(Declined(503, 2.5)) <= 3.75 for seed in range(9))
+    fleet[0].heard()
+    assert fleet[0].next(None) <= 1.5 * watch_module.FIRST_PAUSE
+
+
+@pytest.mark.parametrize(
+    ("lines", "come_back"),
+    [
+        (b"", None),
+        (b"Retry-After: 2.5\r\n", 2.5),
+        (b"retry-after: soon\r\n", None),
+        (b"Retry-After: 1e9\r\n", 60.0),
+    ],
+)
+def test_turned_away_with_a_time_to_come_back(lines, come_back):
+    with pytest.raises(Declined) as fault:
+        Told().feed(memoryview(b"HTTP/1.1 503 Service Unavailable\r\n" + lines + b"\r\n"))
+    assert fault.value.come_back == come_back
+
+
 def test_empty_lines_keep_a_watch_standing(monkeypatch):
     follow = Follow(WHOLE, says(CHUNKED, *[chunk(b"\n")] * 40, chunk(line(4) + b"\n")))
     assert follow.heard(2)[1] == (4, False, 0)
