A hand-off late before it is sent is not sent: no second copy past the agent's CPU

Checked: gevent closes a socket at once where its waiter was timed out, and before the waiter's own queue entry is served where it was broken off, so a resend cannot overtake the close; the resting line that makes room is never reused; ids are unique. At fault, by reading and count: Line._carry sent a hand-off whose time had passed while it waited for its turn, since a Timeout of 0 s acts at the next switch only. Request and end then reach the backend together, and the repeat elsewhere is read before that end: a second copy beside an open first one. Change: nothing is sent for a hand-off whose time is over; it is unsent, known not to have run.

--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -112,8 +112,13 @@
                 if errand.dropped or self.pool.closed:
                     # Recalled, or its backend wants nothing new, before there was a connection.
                     return Reply(Outcome.UNSENT), False
-                if self.sock is None:
+                if self.sock is None and not self._late(errand):
                     self._connect()
+                if self._late(errand):
+                    # Waited for its turn within an agent past its CPU. Sent all the same it would be given up
+                    # at the next look, its end read by the backend behind the repeat elsewhere: two at once.
+                    self.pool.counters["hand-offs late before they were sent"] += 1
+                    return Reply(Outcome.UNSENT), self.sock is not None and not self.ending
                 send_all(self.sock, errand.parts)
                 errand.written = True
                 used = None
@@ -137,6 +142,9 @@
         self.inbox.next(used)
         return reply, keep
 
+    def _late(self, errand: Errand) -> bool:
+        return self.pool.clock.now() >= errand.give_up_at
+
     def _broken(self, errand: Errand) -> Reply:
         if errand.written:
             # After the last byte was given to the kernel nobody knows whether it ran.
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -177,6 +177,20 @@
     assert reply.outcome is Outcome.UNREACHABLE and reply.took < ways.pools.connect_within
 
 
+def test_what_is_late_before_it_is_sent_is_not_sent_and_costs_no_connection():
+    far = Far(replies(served(b"42")))
+    ways = Ways(far.address)
+    # An agent past its CPU comes to a hand-off after its time: begun and at once begun again elsewhere, it
+    # would be two at once.
+    assert ways.send(wait=0).outcome is Outcome.UNSENT
+    assert not far.peers
+    assert ways.send().outcome is Outcome.FINISHED
+    assert ways.send(wait=0).outcome is Outcome.UNSENT
+    assert ways.send().outcome is Outcome.FINISHED
+    assert len(far.peers) == 1 and len(far.peers[0].heard) == 2
+    assert ways.counters["hand-offs late before they were sent"] == 2
+
+
 def test_a_body_not_wholly_written_never_ran():
     # A peer that reads nothing, and more than the kernel takes: the last byte was never handed over.
     ways = Ways(Far(lambda peer: gevent.sleep(60)).address)
