--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -116,7 +116,7 @@
                     self._connect()
                 if self._late(errand):
                     # Waited for its turn within an agent past its CPU. Sent all the same it would be given up
-                    # at the next look: work begun for nobody, and the repeat elsewhere read before its end.
+                    # at the next look: work begun for nobody, and in doubt where nothing needs to be.
                     self.pool.counters["hand-offs late before they were sent"] += 1
                     return Reply(Outcome.UNSENT), self.sock is not None and not self.ending
                 send_all(self.sock, errand.parts)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -181,8 +181,7 @@
 def test_what_is_late_before_it_is_sent_is_not_sent_and_costs_no_connection():
     far = Far(replies(served(b"42")))
     ways = Ways(far.address)
-    # An agent past its CPU comes to a hand-off after its time: begun and at once begun again elsewhere, it
-    # would be two at once.
+    # An agent past its CPU comes to a hand-off after its time: it would be begun for nobody.
     assert ways.send(wait=0).outcome is Outcome.UNSENT
     assert not far.peers
     assert ways.send().outcome is Outcome.FINISHED
