--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -27,8 +27,10 @@
 from nettledeal.net.clock import SECOND, Clock
 from nettledeal.net.counters import Counters
 from nettledeal.net.protocol.catalogue import Catalogue, Garbled, News
+from nettledeal.net.protocol.orders import Order, Refused
 from nettledeal.net.routing.owner import Owner
 from nettledeal.net.transport.budget import Shares, shares
+from nettledeal.net.transport.door import Door
 from nettledeal.net.transport.listener import Listener
 from nettledeal.net.transport.pools import Pools
 from nettledeal.net.transport.watch import Lookout
@@ -42,7 +44,7 @@
 # A forerunner that is just ending may still hold the address.
 BIND_WITHIN = 2.0
 # What was built by it at the start, or is bound to the module's memory; seed and known list are for a start.
-FIXED = ("name", "listen", "memory_mb", "sockets", "settings")
+FIXED = ("name", "listen", "admin", "memory_mb", "sockets", "settings")
 
 
 class Log:
@@ -63,7 +65,7 @@
         self.told = told
         self.clock = Clock()
         self.counters = Counters()
-        within = shares(told.sockets, told.memory_mb)
+        within = shares(told.sockets, told.memory_mb, told.admin is not None)
         connect_within = told.setting("allowed.connect_timeout")
         self.pools = Pools(
             self.clock, self.counters, within.backends, within.answers, within.longest_answer, connect_within,
@@ -92,6 +94,7 @@
         waits = [settings.get(f"categories.{n}.expiry", 0) for n in categories.values()]
         self.longest = max(waits, default=SECOND)
         self.listener = self._listener(within)
+        self.door = self._door()
         self.stopping = Event()
         self.called = Event()  # to reload
 
@@ -107,6 +110,32 @@
                 gevent.sleep(0.1)
         raise Fault(f"listen: {written(self.told.listen)}: {why}")
 
+    def _door(self) -> Door | None:
+        if self.told.admin is None:
+            return None
+        try:
+            return Door(self.told.admin, self.counters, self._order)
+        except OSError as fault:
+            raise Fault(f"admin_addr: {written(self.told.admin)}: {fault.strerror}") from None
+
+    def _order(self, order: Order) -> str:
+        """Returns once it is in force."""
+        match order.word:
+            case "health":
+                return "draining" if self.listener.quiet else "serving"
+            case "quiesce":
+                self.listener.quiesce()
+                return "draining"
+            case "resume":
+                if self.stopping.is_set():
+                    raise Refused("the agent is ending")
+                self.listener.resume()
+                return "serving"
+        call = self.owner.cordon if order.word == "cordon" else self.owner.uncordon
+        if not call(order.backend):
+            raise Refused("no such backend")
+        return order.backend
+
     def _subscribe(self) -> None:
         self.lookout.start()
 
@@ -126,6 +155,8 @@
         if self.told.setting("discovery") == "pushed":
             self.lookout.start()
         gevent.spawn(self.listener.run)
+        if self.door is not None:
+            gevent.spawn(self.door.run)
         gevent.spawn(self._tell)
         gevent.spawn(self._reloads)
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -157,6 +188,8 @@
                 end = max(end, self.clock.now() + SECOND // 20)
             gevent.sleep(0.01)
         self.listener.close()
+        if self.door is not None:
+            self.door.close()
         log.info("stopped", **self.counters)
 
     def _reloads(self) -> None:
--- a/src/nettledeal/configuration.py
+++ b/src/nettledeal/configuration.py
@@ -32,6 +32,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    admin_addr: str = ""
     seed: str = "0"
     limits: _Limits = msgspec.field(default_factory=_Limits)
     known: dict[str, Any] = msgspec.field(default_factory=dict)
@@ -46,6 +47,7 @@
     name: str
     listen: Address
     discovery: Address
+    admin: Address | None  # the operators' door
     seed: int
     memory_mb: int
     sockets: int
@@ -113,10 +115,12 @@
         seed = int(file.seed, 16)
     except ValueError:
         raise Fault(f"seed: {file.seed!r} is no hexadecimal number") from None
+    admin = file.admin_addr or environment.get("EDGE_ADMIN_ADDR", "")
     return Told(
         name=file.name or environment.get("EDGE_NAME", "agent"),
         listen=address("listen", file.listen or environment.get("EDGE_LISTEN", "")),
         discovery=address("discovery", file.discovery or environment.get("EDGE_DISCOVERY", "")),
+        admin=address("admin_addr", admin) if admin else None,
         seed=seed,
         memory_mb=file.limits.memory_mb,
         sockets=file.limits.sockets,
--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -108,6 +108,8 @@
         self.warm_keys = bool(self.get("family_info.warm_keys", False))
         self.sized = self.get("weights", "silent") in ("nominal", "rough")
         self.circle: list[tuple[int, Backend]] = []
+        self.out: dict[BackendId, Time] = {}  # of service by an operator's call, since when
+        self.owed: dict[BackendId, Time] = {}  # back in service, and when each is tried next
         self.recent: deque[Backend] = deque(maxlen=SAMPLE // 2)  # heard from last
         self.agents = max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
@@ -132,7 +134,7 @@
             self.sent_at = now
 
     def regroup(self) -> None:
-        running = [b for b in self.backends.values() if b.listing.life is Life.RUNNING]
+        running = [b for b in self.backends.values() if b.runs]
         self.running = len(running)
         self.near = [b for b in running if b.listing.zone == self.home]
         self.far = [b for b in running if b.listing.zone != self.home]
@@ -158,7 +160,7 @@
             some = [b for b in favoured if home and fits(b)]
             for b in self.recent:
                 here = (b.listing.zone == self.home) is home and self.backends.get(b.id) is b
-                if here and b.listing.life is Life.RUNNING and b not in some and fits(b):
+                if here and b.runs and b not in some and fits(b):
                     some.append(b)
             # Few may fit: a ticket bound to one cell, half a fleet drained. One wider look follows, no more.
             for width in (SAMPLE, 4 * SAMPLE):
@@ -383,14 +385,14 @@
         self.judged: dict[BackendId, tuple[Backend, Time]] = {}  # of late, the oldest first
 
     def capacity(self, backend: Backend, now: Time) -> float:
-        started = backend.listing.started
+        started = backend.started
         if not started or now - started >= self.warm_within:
             return 1.0
         age = max(0, now - started) / self.warm_within
         return self.cold_from + (1 - self.cold_from) * age
 
     def allows(self, wi: WorkItem, backend: Backend, now: Time) -> bool:
-        if backend.listing.life is not Life.RUNNING:
+        if not backend.runs:
             return False
         if not backend.known and len(backend.own) >= 2:
             return False  # named by a stale list only: it may be gone, or cold
@@ -800,6 +802,9 @@
                 if known is not None:
                     fresh.own = known.own
                     fresh.budget = known.budget
+                    if known.listing.started == entry.started:
+                        fresh.cold_since = known.cold_since
+                fresh.out = entry.backend in self.facts.out
                 backends[entry.backend] = fresh
             else:
                 known.listing = entry
@@ -887,6 +892,8 @@
         self.zoning.back(r)
         self.soundness.back(r)
         ho.backend.known = ho.backend.known or outcome is Outcome.FINISHED
+        if outcome is Outcome.FINISHED:
+            self.facts.owed.pop(ho.backend.id, None)
         if wi is None:
             return self._step(now)
         wi.open -= 1
@@ -903,6 +910,33 @@
             self.roster_keeper.heard()
         return self._step(now)
 
+    def cordon(self, now: Time, id: BackendId) -> bool:
+        """Out of service until `uncordon`, whatever the list says; whether there is such a backend."""
+        facts, b = self.facts, self.facts.backends.get(id)
+        if b is not None and b.listing.life is not Life.GONE:
+            facts.out.setdefault(id, now)
+            facts.owed.pop(id, None)
+            b.out = True
+            facts.regroup()
+        return id in facts.out
+
+    def uncordon(self, now: Time, id: BackendId) -> bool:
+        """Used again as the list allows, like one just named: what was learned of it counts no more."""
+        facts, b = self.facts, self.facts.backends.get(id)
+        if b is None and id not in facts.out:
+            return False
+        since = facts.out.pop(id, None)
+        if b is not None and since is not None:
+            fresh = Backend(id, b.listing, known=b.known, paced_at=now, distrust_at=now)
+            fresh.own, fresh.budget = b.own, b.budget
+            # It is taken out to be restarted, and the list may tell that late: cold until it tells.
+            fresh.cold_since = now if b.listing.started < since else 0
+            facts.backends[id] = fresh
+            facts.owed[id] = now + SECOND
+            self.soundness.judged.pop(id, None)
+            facts.regroup()
+        return True
+
     def roster_failed(self, now: Time) -> Step:
         self.roster_keeper.failed(now)
         return self._step(now)
@@ -977,6 +1011,8 @@
         p = Passage(wi, now, extra=extra)
         self.memory.views.clear()
         p.favoured = self.keys.preferred(wi.key) if wi.key is not None else []
+        if self._owed(p):
+            return
         # What the effect allows and what is sound goes into the look around, so that a sample has both.
         p.choices = self.facts.sample(
             lambda b: self.repeats.allows(wi, b, now)
@@ -992,6 +1028,19 @@
             # Given up on: it gets its answer now, not near its expiry.
             self.acts.append(self.ledger.answer(wi, self.admission.come_back(wi, now)))
 
+    def _owed(self, p: Passage) -> bool:
+        """Back in service a backend is as good as unknown, and others look better for long: one first try
+        now and then goes there until one is answered."""
+        for id, at in self.facts.owed.items() if not p.wi.sent else ():
+            b = self.facts.backends.get(id)
+            if at <= p.now and b is not None and self.soundness.allows(p.wi, b, p.now):
+                p.pick, p.offload = b, b.listing.zone != self.facts.home
+                if self._legal(p):
+                    self.facts.owed[id] = p.now + SECOND // 2
+                    self._hand_off(p)
+                    return True
+        return False
+
     def _legal(self, p: Passage) -> bool:
         """The last look before a hand-off, whatever the stages made of it."""
         return (
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from gevent.event import AsyncResult
 from gevent.queue import Empty, SimpleQueue
 
 from nettledeal.decide import Balancer
@@ -25,6 +27,7 @@
     Time,
     Verdict,
 )
+from nettledeal.net.address import Address
 from nettledeal.net.clock import SECOND, Clock
 from nettledeal.net.counters import Counters
 from nettledeal.net.protocol import backend as dialect
@@ -71,6 +74,8 @@
         self.reports = reports
         self.subscribe = subscribe
         self.queue: SimpleQueue = SimpleQueue()
+        self.orders: deque[tuple[Callable, tuple, AsyncResult]] = deque()
+        self.places: dict[str, Address] = {}  # where those that the list calls running are reached
         self.held: dict[int, Held] = {}
         self.names: set[bytes] = set()  # what clients call those that are open
         self.offered = 0  # work items given an id so far
@@ -128,6 +133,24 @@
         self.counters.must(False, "a work item is answered before its expiry")
         self.gone(id)
 
+    def bid(self, call: Callable, *arguments):
+        """An operator's order, done ahead of all that is in the queue; blocks until it is in force. Whoever
+        stops waiting takes it back, or it would be done after it was refused."""
+        order = call, arguments, AsyncResult()
+        self.orders.append(order)
+        self.queue.put((self._ordered, ()))
+        try:
+            return order[2].get()
+        finally:
+            if order in self.orders:
+                self.orders.remove(order)
+
+    def cordon(self, backend: str) -> bool:
+        return self.bid(self._cordon, backend)
+
+    def uncordon(self, backend: str) -> bool:
+        return self.bid(self._uncordon, backend)
+
     # The greenlet.
 
     def start(self, known: News | None) -> None:
@@ -137,6 +160,7 @@
 
     def run(self) -> None:
         while True:
+            self._ordered()
             now = self.clock.now()
             until = now + LOOK if self.wake is None else min(self.wake, now + LOOK)
             call, arguments = self._woken, ()
@@ -217,18 +241,46 @@
         step = self.balancer.probed(self._now(), backend, reply.outcome, reply.took, reply.report or {})
         self._carry_out(step)
 
+    def _ordered(self) -> None:
+        while self.orders:
+            call, arguments, result = self.orders.popleft()
+            try:
+                result.set(call(*arguments))
+            except Exception as fault:
+                result.set_exception(fault)
+
+    def _cordon(self, backend: str) -> bool:
+        known = self.balancer.cordon(self._now(), backend)
+        self._reach(backend)
+        return known
+
+    def _uncordon(self, backend: str) -> bool:
+        known = self.balancer.uncordon(self._now(), backend)
+        self._reach(backend)
+        return known
+
+    def _reach(self, backend: str) -> None:
+        """Connections to what the list calls running, unless an operator has taken it out; without them
+        nothing new goes there, and what is decided but not yet written comes back as never sent."""
+        if backend in self.places and backend not in self.balancer.facts.out:
+            self.pools.place(backend, self.places[backend])
+        else:
+            self.pools.drop(backend)
+
     def _listed(self, news: News, cached: bool = False) -> None:
         named = set()
         for listing in news.listings:
             backend = str(listing.backend)
             named.add(backend)
             if listing.life is Life.RUNNING:
-                self.pools.place(backend, news.places[backend])
+                self.places[backend] = news.places[backend]
             else:
-                self.pools.drop(backend)
+                self.places.pop(backend, None)
+            self._reach(backend)
         if news.whole:
-            for backend in set(self.pools.pools) - named:
-                self.pools.drop(backend)
+            for backend in set(self.places) - named:
+                del self.places[backend]
+                self._reach(backend)
         now = self._now()
         self._carry_out(self.balancer.roster(now, news.listings, whole=news.whole, cached=cached))
 
--- a/src/nettledeal/net/transport/budget.py
+++ b/src/nettledeal/net/transport/budget.py
@@ -11,6 +11,8 @@
 # Besides them, descriptors that are no connection: standard ones, the loop's own, the listener, the list of
 # backends with its successor, files that a library opens now and then.
 _APART = OVERFLOW + 20
+# The operators' door with its callers, as its own bound allows them; one more is on its way in or out.
+DOOR = 14
 
 
 class Budget:
@@ -46,12 +48,12 @@
     longest_answer: int
 
 
-def shares(sockets: int, memory_mb: int) -> Shares:
+def shares(sockets: int, memory_mb: int, door: bool = False) -> Shares:
     """For clients and for backends. A work item takes one connection of each; backends get a little more,
     since one that rests saves the next one's handshake. Half of the memory that is left is for connections,
     half for messages on their way, so that neither silent nor talkative peers can use up the other's."""
     left = max(2048, (memory_mb - _FOOTPRINT_MB) * 1024) // 2
-    whole = min(sockets - _APART, left // _CONNECTION_KB)
+    whole = min(sockets - _APART - (DOOR if door else 0), left // _CONNECTION_KB)
     clients = max(4, int(0.45 * whole))
     half = left * 1024 // 2
     # No answer takes more than a quarter, or one that never ends would be the last.
--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -18,7 +18,7 @@
 from nettledeal.net.protocol.framing import MOST_BODY, Malformed, most_message
 from nettledeal.net.transport.budget import OVERFLOW, Budget
 from nettledeal.net.transport.buffers import Full, Inbox, Stock
-from nettledeal.net.transport.sockets import opened, peek, send_all, smooth, wait_for
+from nettledeal.net.transport.sockets import bound, peek, send_all, smooth, wait_for
 
 # A request comes whole within this time, or its client is told and the place is free again: from the accept,
 # or from its first byte on a connection used before. From the last byte, a trickle would hold the place.
@@ -36,6 +36,12 @@
 # Time enough for a client that has just connected to begin.
 NEW = SECOND // 10
 
+# A drain: after how many seconds each those go that have rested for so many. New clients come for 0.2 s, and
+# within 4 s nobody is to be left.
+EMPTYING = ((0.5, 1.0), (0.5, 0.8), (0.5, 0.6), (0.5, 0.4), (0.5, 0.2), (0.5, 0.0))
+# And from then on those that have said nothing for so long: they came all the same.
+EMPTIED = SECOND // 5
+
 _spill = bytearray(64 * 1024)  # where that goes; nobody looks at it
 
 
@@ -98,7 +104,7 @@
             if used is None:
                 return False
             if asking.ready_check:
-                self._send(asking, Slot(status=HTTPStatus.OK, body=b"ok\n"))
+                self._send(asking, self.listener.health())
             else:
                 self._answer(asking, asking.parcel())
         except Malformed as fault:
@@ -239,12 +245,15 @@
         self.gone = gone
         self.overdue = overdue
         self.draining = False
+        self.quiet = False  # drained by an operator: no new clients are wanted
+        # Counts drains, so that the end of one does not end the next.
+        self.drains = 0
         self.guests: dict[Guest, None] = {}
         # Between requests and before the first one, since when; the longest first.
         self.idle: dict[Guest, Time] = {}
         self.strangers: dict[Guest, Time] = {}
         self.reading: dict[Guest, Time] = {}  # within one, since when
-        self.sock = _bound(address)
+        self.sock = bound(address, shared=True)
 
     def run(self) -> None:
         while True:
@@ -301,22 +310,41 @@
         """Whether somebody sends a request, waits for an answer or is being sent one."""
         return len(self.guests) > len(self.idle) + len(self.strangers)
 
-    def close_idle(self) -> None:
-        """Ends what is between requests; a client that wants more comes anew."""
-        for guest in [*self.idle, *self.strangers]:
-            guest.leave()
+    def close_idle(self, rested: Time = 0) -> None:
+        """Ends what is between requests, for so long; a client that wants more comes anew."""
+        now = self.clock.now()
+        for guest, since in [*self.idle.items(), *self.strangers.items()]:
+            if now - since >= rested:
+                guest.leave()
+
+    def health(self) -> Slot:
+        if self.quiet:
+            return Slot(status=HTTPStatus.SERVICE_UNAVAILABLE, body=b"draining\n")
+        return Slot(status=HTTPStatus.OK, body=b"ok\n")
+
+    def quiesce(self) -> None:
+        """Says no to whoever asks for health and lets clients go: each with its next answer, those that rest
+        once no new ones come. Whoever comes all the same is served."""
+        self.draining = self.quiet = True
+        self.drains += 1
+        gevent.spawn(self._empty, self.drains)
+
+    def resume(self) -> None:
+        self.draining = self.quiet = False
+        self.drains += 1
+
+    def _empty(self, drain: int) -> None:
+        # Those that rest longest first: the next request of a client comes on the one used last.
+        for pause, rested in EMPTYING:
+            gevent.sleep(pause)
+            if drain != self.drains:
+                return
+            self.close_idle(int(rested * SECOND))
+        while True:
+            gevent.sleep(0.1)
+            if drain != self.drains:
+                return
+            self.close_idle(EMPTIED)
 
     def close(self) -> None:
         self.sock.close()
-
-
-def _bound(address: Address) -> socket.socket:
-    sock = opened(address)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(1024)
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/src/nettledeal/net/transport/sockets.py
+++ b/src/nettledeal/net/transport/sockets.py
@@ -14,6 +14,21 @@
     return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
 
 
+def bound(address: Address, shared: bool = False) -> socket.socket:
+    """A listening socket; a shared one lets a successor listen at the same address, beside it."""
+    sock = opened(address)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(address)
+        sock.listen(1024)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def smooth(sock: socket.socket) -> None:
     # Messages go out whole: waiting for more to send would only delay their last part.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/nettledeal/records.py
+++ b/src/nettledeal/records.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from nettledeal.model import BackendId, Effect, Group, Listing, Outcome, Report, Time, WorkItemId
+from nettledeal.model import BackendId, Effect, Group, Life, Listing, Outcome, Report, Time, WorkItemId
 from nettledeal.ring import Ring
 
 
@@ -77,9 +77,19 @@
     distrust_at: Time = 0
     marks: list[int] = field(default_factory=list)  # where it stands on the circle of keys
     heard_at: Time = -1  # when anything last came back
+    out: bool = False  # of service, by an operator's call
+    cold_since: Time = 0  # assumed, where a restart may not have been told yet
     tally: Ring | None = None
     budget: Ring | None = None
 
+    @property
+    def runs(self) -> bool:
+        return self.listing.life is Life.RUNNING and not self.out
+
+    @property
+    def started(self) -> Time:
+        return max(self.listing.started, self.cold_since)
+
 
 @dataclass(slots=True)
 class Passage:
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -263,3 +263,44 @@
 def test_the_time_to_come_back_is_told_in_seconds(come_back, text):
     head = answer(HTTPStatus.SERVICE_UNAVAILABLE, b"", keep=True, come_back=come_back)
     assert (b"Retry-After: %b\r\n" % text in head) if text else (b"Retry-After" not in head)
+
+
+def test_a_drained_listener_says_no_serves_on_and_ends_all_that_rest(monkeypatch):
+    monkeypatch.setattr(listener_module, "EMPTYING", ((0.02, 0.0),))
+    monkeypatch.setattr(listener_module, "EMPTIED", 0)
+    door = Door(hold=True)
+    health = b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n"
+    resting, waiting, cut = door.connect(), door.connect(), door.connect()
+    waiting.send(asked())
+    cut.send(asked(b"cut")[:-40])
+    assert until(lambda: door.taken and len(door.listener.reading) == 1)
+    door.listener.quiesce()
+    door.listener.quiesce()
+    assert door.connect().send(health).hear().startswith(b"HTTP/1.1 503 ")
+    assert resting.hear() == b""
+    # One whose first bytes have come is not cut, nor one whose answer is out; both end with it.
+    cut.send(asked(b"cut")[-40:])
+    assert until(lambda: len(door.taken) == 2)
+    for _, _, slot in door.taken:
+        slot.put(HTTPStatus.OK, b"ok")
+    for client in (waiting, cut):
+        assert b"Connection: close" in client.hear()
+    late = door.connect()
+    assert late.hear() == b""
+    door.listener.resume()
+    client = door.connect()
+    for _ in range(2):
+        assert client.send(health).hear().startswith(b"HTTP/1.1 200 ")
+    gevent.sleep(0.15)
+    assert len(door.listener.guests) == 1
+
+
+def test_a_drain_ended_early_ends_nobody(monkeypatch):
+    monkeypatch.setattr(listener_module, "EMPTYING", ((0.02, 0.0),))
+    door = Door()
+    resting = door.connect()
+    assert resting.send(asked()).hear()
+    door.listener.quiesce()
+    door.listener.resume()
+    gevent.sleep(0.05)
+    assert resting.send(asked(b"r2")).hear().endswith(b"hi")
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,139 @@
+"""Backends taken out of service by operators, in the module."""
+
+import pytest
+from helpers import SECOND, Drive, answers, fleet, hand_offs
+
+from nettledeal.model import Life, Listing, Outcome, Probe, Verdict
+
+
+def run(drive, count, answer=True, **fields):
+    """Takes work items, answers each; where they went."""
+    went = []
+    for _ in range(count):
+        for ho in hand_offs(drive.take(**fields)):
+            went.append(ho.backend)
+            if answer:
+                drive.back(ho, after=50, report={"outstanding": 0})
+    return went
+
+
+def test_nothing_new_goes_to_a_backend_out_of_service():
+    drive = Drive()
+    out = hand_offs(drive.take())[0]
+    assert drive.balancer.cordon(drive.now, out.backend)
+    # A second try, too.
+    again = hand_offs(drive.back(out, Outcome.RESET))
+    assert [ho.backend != out.backend for ho in again] == [True]
+    assert out.backend not in run(drive, 200)
+
+
+def test_a_backend_out_of_service_is_not_probed():
+    drive = Drive(allowed__probes=True, feedback__fields="outstanding", tariffs__probe=0.0001)
+    drive.balancer.cordon(drive.now, "b1")
+    probed = set()
+    for _ in range(50):
+        probed |= {act.backend for act in drive.take() if isinstance(act, Probe)}
+        drive.now += 100
+    assert probed and "b1" not in probed
+
+
+@pytest.mark.parametrize("life", [Life.RUNNING, Life.DRAINING, Life.GONE, None])
+def test_what_the_list_says_meanwhile_undoes_nothing(life):
+    drive = Drive()
+    assert drive.balancer.cordon(drive.now, "b1")
+    others = [entry for entry in fleet() if entry.backend != "b1"]
+    if life is not None:
+        drive.balancer.roster(drive.now, [Listing("b1", life)], whole=False, cached=False)
+    else:
+        drive.balancer.roster(drive.now, others, whole=True, cached=False)
+        assert drive.balancer.cordon(drive.now, "b1"), "out already, though unlisted"
+    drive.balancer.roster(drive.now, [Listing("b1", started=drive.now)], whole=False, cached=False)
+    assert "b1" not in run(drive, 100)
+    drive.balancer.cordon(drive.now, "b1")
+    assert drive.balancer.uncordon(drive.now, "b1")  # twice out, once back
+    drive.now += SECOND
+    assert "b1" in run(drive, 100)
+
+
+def test_back_while_the_list_says_draining_the_lists_drain_binds():
+    drive = Drive()
+    drive.balancer.cordon(drive.now, "b1")
+    drive.balancer.roster(drive.now, [Listing("b1", Life.DRAINING)], whole=False, cached=False)
+    assert drive.balancer.uncordon(drive.now, "b1")
+    drive.now += SECOND
+    assert "b1" not in run(drive, 100)
+
+
+@pytest.mark.parametrize("call", ["cordon", "uncordon"])
+def test_unknown_ids_get_a_no(call):
+    drive = Drive()
+    assert not getattr(drive.balancer, call)(drive.now, "b77")
+    drive.balancer.roster(drive.now, [Listing("b1", Life.GONE)], whole=False, cached=False)
+    assert not getattr(drive.balancer, call)(drive.now, "b1")
+
+
+@pytest.mark.parametrize("ids", [["b0", "b1", "b2"], ["b0", "b1", "b2", "b3", "b4"]])
+def test_a_zone_or_all_taken_out(ids):
+    drive = Drive()
+    for id in ids:
+        assert drive.balancer.cordon(drive.now, id)
+    for _ in range(20):
+        acts = drive.take(category=1)
+        if len(ids) == 5:
+            assert [act.verdict for act in answers(acts)] == [Verdict.DEFERRED]
+        else:
+            assert hand_offs(acts)[0].backend in ("b3", "b4")
+            drive.back(hand_offs(acts)[0], after=10)
+
+
+@pytest.mark.parametrize(
+    ("restarted", "told", "capacity"),
+    [
+        (False, None, 0.3),  # the list may tell a restart late
+        (True, None, 0.3),
+        (True, "meanwhile", 0.3 + 0.7 * 2 / 8),
+        (False, "after", 1.0),
+    ],
+)
+def test_it_comes_back_cold_by_its_start_and_with_nothing_held_against_it(restarted, told, capacity):
+    drive = Drive()
+    b = drive.balancer.facts.backends["b1"]
+    for _ in range(9):
+        drive.balancer.soundness.judge(b, True, drive.now)
+    assert drive.balancer.soundness.distrust(b, drive.now) > 0.5
+    b.others, b.read_at = 50.0, drive.now
+    drive.balancer.cordon(drive.now, "b1")
+    drive.now += 3 * SECOND
+    start = drive.now
+    if told == "meanwhile":
+        drive.balancer.roster(drive.now, [Listing("b1", started=start)], whole=False, cached=False)
+        drive.now += 2 * SECOND
+    assert drive.balancer.uncordon(drive.now, "b1")
+    if told == "after":
+        drive.balancer.roster(drive.now, [Listing("b1", started=1)], whole=False, cached=False)
+    b = drive.balancer.facts.backends["b1"]
+    assert drive.balancer.soundness.capacity(b, drive.now) == pytest.approx(capacity)
+    assert drive.balancer.soundness.distrust(b, drive.now) == 0.0
+    assert b.read_at is None
+
+
+@pytest.mark.parametrize("id", ["b1", "b4"])
+def test_back_in_service_it_gets_some_work_within_five_seconds(id):
+    # Its zone is not home, or all others look much better, and it is cold.
+    drive = Drive(rules__cold_from=0.1, rules__warm_within=60 * SECOND)
+    run(drive, 100)
+    drive.balancer.cordon(drive.now, id)
+    drive.now += 5 * SECOND
+    drive.balancer.uncordon(drive.now, id)
+    back, went = drive.now, []
+    while drive.now < back + 5 * SECOND:
+        went += run(drive, 1, expiry=20_000)
+        drive.now += 500
+    assert id in went
+    # One at a time: it is cold, and until one is answered it may bear none.
+    drive.balancer.cordon(drive.now, id)
+    drive.now += SECOND
+    drive.balancer.uncordon(drive.now, id)
+    drive.now += SECOND
+    went = run(drive, 10, answer=False, category=1)
+    assert went.count(id) <= 1
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -310,3 +310,58 @@
     assert (id, slot.status) == (None, HTTPStatus.BAD_REQUEST)
     gevent.sleep(0.01)
     assert not desk.ways.errands
+
+
+def test_an_operators_order_comes_before_all_that_waits_and_takes_its_connections_away(monkeypatch):
+    desk = Desk()
+    order = []
+    sound = desk.owner.balancer.cordon
+    monkeypatch.setattr(desk.owner.balancer, "cordon", lambda *a: (order.append("cordon"), sound(*a))[1])
+
+    def busy():
+        order.append("event")
+
+    # The owner is not asked again between events while there are any.
+    for _ in range(3):
+        desk.owner.queue.put((busy, ()))
+    desk.owner.queue.put((lambda: order.append("last"), ()))
+    assert desk.owner.cordon("b0")
+    assert sorted(desk.ways.pools) == ["b1"]
+    assert order[0] == "cordon" and until(lambda: len(order) == 5)
+    # The list names it as running, at another place; it stays out, and that place is its own once back.
+    moved = News(2, False, [Listing("b0", zone=0)], {"b0": ("127.0.0.1", 10)})
+    desk.owner.news(moved)
+    gevent.sleep(0.01)
+    assert sorted(desk.ways.pools) == ["b1"]
+    assert desk.owner.uncordon("b0")
+    assert desk.ways.pools["b0"] == ("127.0.0.1", 10)
+    assert not desk.owner.cordon("b9") and not desk.owner.uncordon("b9")
+
+
+def test_an_order_nobody_waits_for_any_more_is_not_carried_out(monkeypatch):
+    desk = Desk()
+    monkeypatch.setattr(desk.owner, "_ordered", lambda: None)  # too busy
+    with pytest.raises(gevent.Timeout), gevent.Timeout(0.01):
+        desk.owner.cordon("b0")
+    assert not desk.owner.orders
+
+
+def test_a_hand_off_decided_but_not_written_goes_elsewhere_when_its_backend_is_taken_out():
+    desk = Desk()
+    slot, _ = desk.take("write")
+    first = desk.out()
+    went = desk.ways.sent_to[0]
+    assert desk.owner.cordon(went)
+    # What its pool does with an errand not yet written.
+    first.done(Reply(Outcome.UNSENT))
+    desk.out(2).done(Reply(Outcome.FINISHED, report={}))
+    assert desk.ways.sent_to[1] != went
+    assert desk.answered(slot) is HTTPStatus.OK
+
+
+@pytest.mark.parametrize("category", ["read", "write"])
+def test_all_taken_out_work_is_deferred_at_once(category):
+    desk = Desk()
+    assert desk.owner.cordon("b0") and desk.owner.cordon("b1")
+    slot, _ = desk.take(category)
+    assert desk.answered(slot) is HTTPStatus.SERVICE_UNAVAILABLE
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -61,6 +61,7 @@
         ("listen", "here", "listen"),
         ("listen", "", "listen"),
         ("discovery", "127.0.0.1:99999", "discovery"),
+        ("admin_addr", "here", "admin_addr"),
         ("seed", "xyz", "seed"),
         ("log_level", "loud", "log_level"),
         ("settings.zone", -1, "settings.zone"),
@@ -116,6 +117,43 @@
     assert log.count("\n") == 1
 
 
+def test_a_door_that_cannot_be_opened_ends_the_start_and_an_open_one_takes_orders(tmp_path):
+    far = Far(replies(served(b"from afar")))
+    entry = {"instanceId": "s1", "hostPort": ":".join(map(str, far.address)), "zone": "a"}
+    place, door = free_place(), free_place()
+    told = {**TOLD, "known": {"generation": 1, "reset": True, "instances": [entry]},
+            "listen": ":".join(map(str, place)), "discovery": "127.0.0.1:1",
+            "admin_addr": ":".join(map(str, door))}
+    agent = start(tmp_path, json.dumps(told).encode())
+
+    def call(text):
+        return Peer(socket.create_connection(door)).send(text + b"\n").hear(end=b"never")
+
+    try:
+        assert "started" in agent.stderr.readline()
+        assert call(b"health").startswith(b"+OK")
+        other = start(tmp_path, json.dumps(told).encode())
+        _, log = other.communicate(timeout=20)
+        assert (other.returncode, log.count("\n")) == (2, 1)
+        assert log.startswith("nettledeal: admin_addr: ")
+        client = Peer(socket.create_connection(place))
+        assert call(b"cordon s9").startswith(b"-ERR")
+        assert call(b"cordon s1").startswith(b"+OK")
+        assert client.send(asked()).hear().startswith(b"HTTP/1.1 503 ")
+        assert call(b"uncordon s1").startswith(b"+OK")
+        # Cold, and the only one: it takes what it bears.
+        assert until(lambda: client.send(asked(b"r2")).hear().endswith(b"from afar"))
+        assert call(b"quiesce").startswith(b"+OK")
+        health = b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n"
+        assert client.send(health).hear().startswith(b"HTTP/1.1 503 ")
+        assert call(b"health").startswith(b"+OK")
+        assert call(b"resume").startswith(b"+OK")
+        assert Peer(socket.create_connection(place)).send(health).hear().startswith(b"HTTP/1.1 200 ")
+    finally:
+        agent.kill()
+        agent.stderr.close()
+
+
 def test_it_serves_and_ends_with_0_when_told_to(tmp_path):
     told_to_end = Event()
 
