--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -44,7 +44,7 @@
 # A forerunner that is just ending may still hold the address.
 BIND_WITHIN = 2.0
 # What was built by it at the start, or is bound to the module's memory; seed and known list are for a start.
-FIXED = ("name", "listen", "admin", "memory_mb", "sockets", "settings")
+FIXED = ("name", "listen", "admin", "memory_mb", "sockets", "longest", "settings")
 
 
 class Log:
@@ -68,7 +68,7 @@
         within = shares(told.sockets, told.memory_mb, told.admin is not None)
         connect_within = told.setting("allowed.connect_timeout")
         self.pools = Pools(
-            self.clock, self.counters, within.backends, within.answers, within.longest_answer, connect_within,
+            self.clock, self.counters, within.backends, within.answers, told.longest, connect_within,
             told.setting("allowed.conn_idle"),
         )
         categories = told.numbers("categories")
@@ -103,7 +103,7 @@
             try:
                 return Listener(
                     self.told.listen, self.clock, self.counters, within.clients, within.requests,
-                    self.owner.offer, self.owner.gone, self.owner.overdue,
+                    self.owner.offer, self.owner.gone, self.owner.overdue, self.told.longest,
                 )
             except OSError as fault:
                 why = fault.strerror
--- a/src/nettledeal/configuration.py
+++ b/src/nettledeal/configuration.py
@@ -26,6 +26,7 @@
     cores: float = 1.0
     memory_mb: int = 192
     sockets: int = 1024
+    longest_mb: int = 40
 
 
 class _File(msgspec.Struct):
@@ -51,6 +52,7 @@
     seed: int
     memory_mb: int
     sockets: int
+    longest: int  # body of any message, in bytes
     known: dict[str, Any]
     settings: Mapping[str, Any]  # flat, in the project's words and units
     log_level: str
@@ -106,7 +108,7 @@
         raise Fault(f"{where.rstrip('`') or 'the file'}: {what}") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as fault:
         raise Fault(f"the file: no JSON: {fault}") from None
-    for key, least in (("memory_mb", 24), ("sockets", 32)):
+    for key, least in (("memory_mb", 24), ("sockets", 32), ("longest_mb", 1)):
         if getattr(file.limits, key) < least:
             raise Fault(f"limits.{key}: {getattr(file.limits, key)} is too little, {least} is the least")
     if file.log_level not in _LEVELS:
@@ -124,6 +126,7 @@
         seed=seed,
         memory_mb=file.limits.memory_mb,
         sockets=file.limits.sockets,
+        longest=file.limits.longest_mb * 1_000_000,
         known=file.known,
         settings=settings(file.settings),
         log_level=file.log_level,
--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -846,11 +846,12 @@
 
     def take(
         self, now: Time, id: WorkItemId, category: int, expiry: Time, *, customer: int = 0,
-        key: str | None = None, work: float | None = None, again: bool = False,
+        key: str | None = None, work: float | None = None, again: bool = False, long: bool = False,
     ) -> Step:
         kind = self.facts.category(category)
         due = expiry
-        if kind.due:
+        # When a long one will be whole is not known: until then it counts as one with all its time.
+        if kind.due and not long:
             allowed = kind.due + int(kind.stretch * (work or 0))
             due = min(expiry, self._first_taken(now, kind, expiry, again) + allowed)
         wi = WorkItem(id, kind, now, due, expiry, customer, work, again, key)
@@ -970,6 +971,16 @@
             wi.streaming = True
         return self._step(now)
 
+    def handed_on(self, now: Time, id: WorkItemId, number: int) -> Step:
+        """It goes out while it comes, and can't be sent again; its backend begins it with its last byte."""
+        ho = self.out.get((id, number))
+        wi = self.ledger.open.get(id)
+        if ho is not None and wi is not None:
+            wi.streaming = ho.lost = True
+            ho.backend.own.pop((id, number), None)
+            self.facts.count_open(now, -1)
+        return self._step(now)
+
     def wake(self, now: Time) -> Step:
         while self.alarms and self.alarms[0][0] <= now:
             _, _, id, number = heappop(self.alarms)
--- a/src/nettledeal/net/protocol/backend.py
+++ b/src/nettledeal/net/protocol/backend.py
@@ -5,10 +5,12 @@
 import re
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Protocol
 
 import httptools
 
 from nettledeal.model import Outcome, Report, Time
+from nettledeal.net.protocol.bodies import ToTheEnd, chunk
 from nettledeal.net.protocol.client import Parcel
 from nettledeal.net.protocol.framing import MOST_BODY, Malformed, Message, Unread
 from nettledeal.net.protocol.reports import report
@@ -28,19 +30,31 @@
     lines: bytes = b""  # of its head, for the client
     report: Report | None = None
     took: Time = 0
+    rest: Rest | None = None  # of a long body, as it comes
+
+
+class Rest(Protocol):
+    """What is still to come of a body; whoever pulls last ends it."""
+
+    length: int | None
+
+    def pull(self) -> list[memoryview | bytes]: ...
+
+    def end(self, whole: bool) -> None: ...
 
 
 class Replying:
     """One answer of a backend, out of the buffer that it is read into."""
 
-    def __init__(self, most_body: int = MOST_BODY) -> None:
+    def __init__(self, most_body: int = MOST_BODY, bare: bool = False) -> None:
         self.most_body = most_body
+        self.bare = bare
         self.message = self._message(0)
         self.interim = 0
         self.cleared = False
 
     def _message(self, start: int) -> Message:
-        return Message(httptools.HttpResponseParser, self.most_body, start)
+        return Message(httptools.HttpResponseParser, self.most_body, start, self.bare)
 
     def look(self, buffer: bytearray, filled: int) -> int | None:
         while True:
@@ -59,8 +73,8 @@
                     raise Malformed(HTTPStatus.BAD_GATEWAY, "interim answers without end")
                 self.message = self._message(message.head)
                 continue
-            if status < 200 or message.length is None and not message.chunked and status not in (204, 304):
-                # One that ends with its connection can't be told from one that was cut.
+            if status < 200 or isinstance(message.reader, ToTheEnd) and not self._says_so():
+                # Without a word of it, one that ends with its connection may as well never end.
                 raise Malformed(HTTPStatus.BAD_GATEWAY, "the end of the answer can't be known")
             return used
 
@@ -74,18 +88,41 @@
         buffer[found.end(1) : found.end() - 1] = b" " * (found.end() - 1 - found.end(1))
         self.message = self._message(start)
 
+    def _says_so(self) -> bool:
+        named = self.message.headers.get(b"connection", b"").lower().split(b",")
+        return self.message.dated or b"close" in [name.strip() for name in named]
+
     @property
     def whole(self) -> int | None:
         return self.message.whole
 
+    @property
+    def kept(self) -> int | None:
+        return self.message.kept
+
+    def ended(self) -> bool:
+        return self.message.ended()
+
+    @property
+    def comes(self) -> bool:
+        """Good, and its length not known yet: it may be long."""
+        return self.message.status == HTTPStatus.OK and self.message.reader is not None
+
+    @property
+    def long(self) -> bool:
+        return self.message.long
+
     @property
     def keeps(self) -> bool:
-        return self.message.keeps and not self.message.more
+        return self.message.keeps
 
     def reply(self) -> Reply:
         found = self._read()
         if found.outcome is Outcome.FINISHED:
             found.lines = self.message.passed_on(b"x-server-load", b"x-not-processed", b"retry-after")
+            if self.bare and self.message.length is not None:
+                # What a body would have, which is not to come.
+                found.lines += b"Content-Length: %b\r\n" % self.message.headers.get(b"content-length", b"0")
         return found
 
     def probed(self) -> Reply:
@@ -106,14 +143,20 @@
         return Reply(outcome, message.body, report=report(message.headers.get(b"x-server-load")))
 
 
-def hand_off(parcel: Parcel, time_out: Time) -> bytes:
-    """The head of a hand-off; the body follows as it came."""
+def hand_off(parcel: Parcel, time_out: Time) -> list[bytes | memoryview]:
+    """A hand-off: its head, and the body as it came, or what has come of it so far."""
     head = b"%b %b HTTP/1.1\r\n%bX-Timeout-Ms: %d\r\n" % (
         parcel.method, parcel.target, parcel.head, max(1, time_out // 10)
     )
-    if len(parcel.body) or parcel.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-        head += b"Content-Length: %d\r\n" % len(parcel.body)
-    return head + b"\r\n"
+    body, length = [parcel.body], len(parcel.body)
+    if parcel.upload is not None:
+        length = parcel.upload.length
+        if length is None:
+            head += b"Transfer-Encoding: chunked\r\n"
+            body = chunk(body)
+    if length or length == 0 and parcel.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+        head += b"Content-Length: %d\r\n" % length
+    return [head + b"\r\n", *body]
 
 
 def probe(host: str, reports: bool) -> bytes:
--- a/src/nettledeal/net/protocol/client.py
+++ b/src/nettledeal/net/protocol/client.py
@@ -4,19 +4,22 @@
 
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Protocol
 
 import httptools
 
 from nettledeal.model import Time
-from nettledeal.net.protocol.framing import Malformed, Message
+from nettledeal.net.protocol.framing import MOST_BODY, Malformed, Message
 from nettledeal.words import TENTH, up
 
 READY = b"/_health"
 # Their answers are framed by rules of their own.
-_NOT_PASSED_ON = (b"HEAD", b"CONNECT", b"TRACE")
+_NOT_PASSED_ON = (b"CONNECT", b"TRACE")
 # A wait beyond an hour is a mistake, and would keep what it holds for as long.
 _LONGEST_MS = 3_600_000
 MICROSECOND = 1000
+# So much of a long body is kept, to be sent once more while no more of it has been asked for.
+REPLAY = 32 * 1024
 
 
 @dataclass(slots=True)
@@ -34,24 +37,56 @@
     customer: str = ""
     key: str | None = None
     work: float | None = None
+    upload: Upload | None = None
+
+
+class Upload(Protocol):
+    """What is still to come of a long body."""
+
+    length: int | None
 
 
 class Asking:
     """One request of a client, out of the buffer that it is read into."""
 
-    def __init__(self) -> None:
-        self.message = Message(httptools.HttpRequestParser)
+    def __init__(self, most_body: int = MOST_BODY) -> None:
+        self.message = Message(httptools.HttpRequestParser, most_body)
 
     def look(self, buffer: bytearray, filled: int) -> int | None:
-        used = self.message.look(buffer, filled)
-        if self.message.more:
-            raise Malformed(HTTPStatus.BAD_REQUEST, "bytes behind a chunked body")
-        return used
+        return self.message.look(buffer, filled)
 
     @property
     def whole(self) -> int | None:
         return self.message.whole
 
+    @property
+    def kept(self) -> int | None:
+        return self.message.kept
+
+    @property
+    def headed(self) -> bool:
+        return self.message.head > 0
+
+    @property
+    def bare(self) -> bool:
+        """Its answer has no body."""
+        return self.message.method == b"HEAD"
+
+    @property
+    def dated(self) -> bool:
+        return self.message.dated
+
+    @property
+    def come(self) -> int:
+        """The bytes of its body so far, where they are counted."""
+        return self.message.reader.size if self.message.reader is not None else 0
+
+    @property
+    def handed_on(self) -> bool:
+        """Long, and enough of it has come to begin with."""
+        message = self.message
+        return message.long and (message.length is None or message.reader.size >= REPLAY)
+
     @property
     def expects(self) -> bool:
         """The client sends its body only when told to."""
@@ -80,7 +115,7 @@
             method=method,
             target=message.url,
             head=message.passed_on(b"x-timeout-ms"),
-            body=message.body,
+            body=message.body or b"".join(message.pieces),
             category=headers.get(b"x-priority-class", b"").decode("latin-1"),
             wait=_wait(headers.get(b"x-timeout-ms")),
             again=headers.get(b"x-retried", b"0") not in (b"", b"0"),
@@ -117,10 +152,16 @@
 
 
 def answer(
-    status: HTTPStatus, body: memoryview | bytes, *, keep: bool, come_back: Time = 0, lines: bytes = b""
+    status: HTTPStatus, length: int | None, *, keep: bool, come_back: Time = 0, lines: bytes = b"",
+    chunked: bool = True,
 ) -> bytes:
-    """The head of an answer, with the backend's own lines; its body follows as it is."""
-    head = f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Length: {len(body)}\r\n"
+    """The head of an answer, with the backend's own lines; its body follows as it is, in chunks or up to the
+    end of the connection where its length is not known."""
+    head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+    if length is not None:
+        head += f"Content-Length: {length}\r\n"
+    elif chunked:
+        head += "Transfer-Encoding: chunked\r\n"
     if come_back > 0:
         seconds = f"{come_back * TENTH / 1e9:.4f}".rstrip("0").rstrip(".")
         head += f"Retry-After: {seconds}\r\n"
--- a/src/nettledeal/net/protocol/framing.py
+++ b/src/nettledeal/net/protocol/framing.py
@@ -1,7 +1,8 @@
 """One HTTP message out of the buffer that it is read into: where it ends, what its head says.
 
-httptools reads heads and chunks. The end of a head is looked for here, because httptools reads on into
-pipelined bytes and does not tell where a message ended; so a body of told length stays a slice.
+httptools reads heads. The end of a head is looked for here, because httptools reads on into pipelined bytes
+and does not tell where a message ended; so a body of told length stays a slice. Other bodies, and long ones,
+are read by `bodies`.
 """
 
 from __future__ import annotations
@@ -10,15 +11,13 @@
 
 import httptools
 
+from nettledeal.net.protocol.bodies import Body, Chunked, Malformed, Told, ToTheEnd
+
 MOST_HEAD = 16 * 1024
 MOST_BODY = 64 * 1024
 MOST_BLANK = 4
-
-
-def most_message(most_body: int) -> int:
-    """The bytes that a message may take; chunks carry their sizes along."""
-    return MOST_HEAD + 2 * most_body
-
+# The bytes of a message that are kept at once: a long body goes on in pieces, and so do chunks.
+MOST_MESSAGE = MOST_HEAD + MOST_BODY
 
 # What holds for one connection only, and what is worded anew on the next one.
 _OWN = frozenset(
@@ -27,14 +26,6 @@
 )
 
 
-class Malformed(Exception):
-    """No message, or one that is not taken; with what a client is told."""
-
-    def __init__(self, status: HTTPStatus, why: str):
-        super().__init__(why)
-        self.status = status
-
-
 class Unread(Malformed):
     """A head that the parser cannot read."""
 
@@ -46,65 +37,68 @@
 class Message:
     """What the parser says of one message, filled while it is read."""
 
-    def __init__(self, parser: type[httptools.HttpParser], most_body: int = MOST_BODY, start: int = 0):
+    def __init__(
+        self, parser: type[httptools.HttpParser], most_body: int = MOST_BODY, start: int = 0,
+        bare: bool = False,
+    ):
         # It and this refer to each other, and whole messages would wait for the garbage collector: so it goes
         # as soon as it has read all that it is to read.
         self.parser: httptools.HttpParser | None = parser(self)
         self.method = b""  # of a request
         self.status = 0  # of an answer
         self.most_body = most_body
+        self.bare = bare  # the answer to a HEAD: a length told, and no body
         self.headers: dict[bytes, bytes] = {}
         self.fields: list[tuple[bytes, bytes]] = []  # as they came, repeated ones too
         self.url = b""
         self.body: memoryview | bytes = b""
         self.length: int | None = None
-        self.chunked = False
+        self.reader: Body | None = None  # of a body whose length is not told, or that is long
+        self.pieces: list[bytes] = []  # what it has found so far
         self.head = 0  # bytes of the head, once it is whole
         self.start = start
         self.blank = 0
         self.looked = 0
-        self.parts: list[bytes] = []
-        self.size = 0
-        self.done = False
-        self.more = False
         self.keeps = False  # whether the connection may carry another message
+        self.dated = False  # HTTP/1.0 and before
 
     # Called by httptools.
 
-    def on_message_begin(self) -> None:
-        self.more = self.done
-
     def on_url(self, url: bytes) -> None:
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.done or self.head:
-            return  # trailers
-        raw, name = name, name.lower()
-        if name in self.headers and name in (b"content-length", b"transfer-encoding", b"host"):
-            # Two lengths are how requests are smuggled past one reader to another.
-            raise Malformed(HTTPStatus.BAD_REQUEST, f"{name.decode()} given twice")
+        # The parser leaves white space behind a value on it.
+        raw, name, value = name, name.lower(), value.strip(b" \t")
+        if name in self.headers:
+            if name in (b"content-length", b"transfer-encoding", b"host"):
+                # Two lengths are how requests are smuggled past one reader to another.
+                raise Malformed(HTTPStatus.BAD_REQUEST, f"{name.decode()} given twice")
+            if name == b"connection":
+                value = self.headers[name] + b"," + value
         self.headers[name] = value
         self.fields.append((raw, value))
 
-    def on_body(self, body: bytes) -> None:
-        if not self.done:
-            self.parts.append(body)
-            self.size += len(body)
-
     def on_headers_complete(self) -> None:
-        if not self.done:
-            self.keeps = self.parser.should_keep_alive()  # later it speaks of what is behind the message
-
-    def on_message_complete(self) -> None:
-        self.done = True
+        self.keeps = self.parser.should_keep_alive()  # later it speaks of what is behind the message
+        self.dated = self.parser.get_http_version() in ("1.0", "0.9")
 
     # Called by whoever reads.
 
     @property
     def whole(self) -> int | None:
         """The bytes up to its end, once that is told."""
-        return self.head + (self.length or 0) if self.head and not self.chunked else None
+        return self.head + (self.length or 0) if self.head and self.reader is None else None
+
+    @property
+    def long(self) -> bool:
+        """Longer than what is kept whole: its pieces so far, then what the reader finds."""
+        return self.reader is not None and (self.length or self.reader.size) > MOST_BODY
+
+    @property
+    def kept(self) -> int | None:
+        """The bytes of the buffer that are still needed: what the reader has seen is not."""
+        return self.head if self.reader is not None else None
 
     def passed_on(self, *less: bytes) -> bytes:
         """The lines of the head that concern both ends, not this connection."""
@@ -113,7 +107,8 @@
         return b"".join(b"%b: %b\r\n" % field for field in self.fields if field[0].lower() not in named)
 
     def look(self, buffer: bytearray, filled: int) -> int | None:
-        """How many bytes the message takes, or None while it is not whole."""
+        """How many bytes the message takes, or None while it is not whole. Where `kept` says so, each call is
+        for what has come behind those bytes since the last one."""
         try:
             return self._look(buffer, filled)
         except Malformed:
@@ -126,44 +121,53 @@
             why = f"no HTTP: {fault}"
             raise Malformed(HTTPStatus.BAD_REQUEST, why) if self.head else Unread(why, self.looked) from None
 
+    def ended(self) -> bool:
+        """The connection has ended; whether that leaves the message whole."""
+        if self.reader is None or not self.reader.end():
+            return False
+        self.body = b"".join(self.pieces)
+        return True
+
     def _look(self, buffer: bytearray, filled: int) -> int | None:
-        if not self.head:
-            # Some clients end a body with a line that no length tells of.
-            while self.start + 2 <= filled and buffer[self.start : self.start + 2] == b"\r\n":
-                self.start += 2
-                self.blank += 1
-                if self.blank > MOST_BLANK:
-                    raise Malformed(HTTPStatus.BAD_REQUEST, "empty lines without end")
-            end = buffer.find(b"\r\n\r\n", max(self.start, self.looked - 3), filled)
-            self.looked = filled
-            # Also a head that came in one piece: what a message may hold must not hang on how it came.
-            if (end + 4 if end >= 0 else filled) - self.start > MOST_HEAD:
-                raise Malformed(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long")
-            if end < 0:
-                return None
-            self.looked = end + 4
-            # A line that ends in half of its mark ends the head for one reader and not for the next.
-            if len({buffer.count(mark, self.start, end + 4) for mark in (b"\r\n", b"\r", b"\n")}) > 1:
-                raise Malformed(HTTPStatus.BAD_REQUEST, "lines of the head end in doubt")
-            with memoryview(buffer) as view:
-                self.feed(view[self.start : end + 4])
-            self.head = end + 4
-            if isinstance(self.parser, httptools.HttpRequestParser):
-                self.method = self.parser.get_method()
-            else:
-                self.status = self.parser.get_status_code()
-            self._measure()
-            self.looked = self.head
-            if not self.chunked:
-                self.parser = None
-        if self.chunked:
-            return self._chunks(buffer, filled)
+        if not self.head and not self._heads(buffer, filled):
+            return None
+        if self.reader is not None:
+            return self._read(buffer, filled)
         end = self.whole
         if filled < end:
             return None
         self.body = memoryview(buffer)[self.head : end].toreadonly()
         return end
 
+    def _heads(self, buffer: bytearray, filled: int) -> bool:
+        # Some clients end a body with a line that no length tells of.
+        while self.start + 2 <= filled and buffer[self.start : self.start + 2] == b"\r\n":
+            self.start += 2
+            self.blank += 1
+            if self.blank > MOST_BLANK:
+                raise Malformed(HTTPStatus.BAD_REQUEST, "empty lines without end")
+        end = buffer.find(b"\r\n\r\n", max(self.start, self.looked - 3), filled)
+        self.looked = filled
+        # Also a head that came in one piece: what a message may hold must not hang on how it came.
+        if (end + 4 if end >= 0 else filled) - self.start > MOST_HEAD:
+            raise Malformed(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long")
+        if end < 0:
+            return False
+        self.looked = end + 4
+        # A line that ends in half of its mark ends the head for one reader and not for the next.
+        if len({buffer.count(mark, self.start, end + 4) for mark in (b"\r\n", b"\r", b"\n")}) > 1:
+            raise Malformed(HTTPStatus.BAD_REQUEST, "lines of the head end in doubt")
+        with memoryview(buffer) as view:
+            self.feed(view[self.start : end + 4])
+        self.head = end + 4
+        if isinstance(self.parser, httptools.HttpRequestParser):
+            self.method = self.parser.get_method()
+        else:
+            self.status = self.parser.get_status_code()
+        self._measure()
+        self.parser = None
+        return True
+
     def feed(self, view: memoryview) -> None:
         try:
             self.parser.feed_data(view)
@@ -173,30 +177,30 @@
     def _measure(self) -> None:
         encoding = self.headers.get(b"transfer-encoding")
         length = self.headers.get(b"content-length")
-        self.chunked = encoding is not None
         if encoding is not None and (length is not None or encoding.lower() != b"chunked"):
             raise Malformed(HTTPStatus.BAD_REQUEST, "the length of the body is in doubt")
         if length is not None:
             if not length.isdigit():
                 raise Malformed(HTTPStatus.BAD_REQUEST, "content-length is no number")
             self.length = int(length[:19])
+        if self.bare or 100 <= self.status < 200 or self.status in (204, 304):
+            self.length = 0
+        elif encoding is not None:
+            self.reader = Chunked(self.most_body)
+        elif length is not None:
             if self.length > self.most_body:
                 raise Malformed(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
-
-    def _chunks(self, buffer: bytearray, filled: int) -> int | None:
-        try:
-            with memoryview(buffer) as view:
-                self.feed(view[self.looked : filled])
-        except httptools.HttpParserError:
-            if not self.done:
-                raise
-            self.more = True
-        self.looked = filled
-        if self.size > self.most_body:
-            raise Malformed(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
-        if not self.done:
+            if self.length > MOST_BODY:
+                self.reader = Told(self.most_body, self.length)
+        elif self.status:
+            self.reader = ToTheEnd(self.most_body)
+
+    def _read(self, buffer: bytearray, filled: int) -> int | None:
+        with memoryview(buffer) as view, view[self.head : filled] as come:
+            for piece in self.reader.feed(come):
+                self.pieces.append(bytes(piece))
+                piece.release()
+        if not self.reader.done:
             return None
-        self.parser = None
-        # Where a chunked message ends is not told, so what is behind it can't be read.
-        self.body = b"".join(self.parts)
-        return filled
+        self.body = b"".join(self.pieces)
+        return self.head + self.reader.used
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -36,6 +36,7 @@
 from nettledeal.net.protocol.client import Parcel
 from nettledeal.net.transport.listener import Slot
 from nettledeal.net.transport.pools import Errand, Pools
+from nettledeal.net.transport.relay import SLOWEST
 
 # The answer is to be with the client before its expiry, which counts from when it sent: so much is left
 # for the way here and back.
@@ -106,6 +107,8 @@
         if wait is None:
             wait = self.waits.get(parcel.category, SECOND)
         slot.by = at + wait
+        if parcel.upload is not None:
+            slot.by += SLOWEST
         self.offered += 1
         self.waiting += 1
         self.names.add(parcel.name)
@@ -214,7 +217,7 @@
             self.balancer.take(
                 self.told, id, category, max(at + 1, expiry),
                 customer=self.customers.get(parcel.customer, -1),
-                key=parcel.key, work=parcel.work, again=parcel.again,
+                key=parcel.key, work=parcel.work, again=parcel.again, long=parcel.upload is not None,
             )
         )
 
@@ -228,9 +231,11 @@
         held = self.held.get(id)
         if held is not None:
             held.out.pop(number, None)
-            if reply.outcome is Outcome.FINISHED:
-                held.slot.put(HTTPStatus.OK, reply.body, reply.lines)
-                self._close(id)
+        if reply.rest is not None and (held is None or held.slot.status is not None):
+            reply.rest.end(False)  # its client is gone, or has been answered
+        if held is not None and reply.outcome is Outcome.FINISHED:
+            held.slot.put(HTTPStatus.OK, reply.body, reply.lines, rest=reply.rest)
+            self._close(id)
         self._carry_out(
             self.balancer.returned(
                 self._now(), id, number, reply.outcome, reply.took, closed=False, report=reply.report or {}
@@ -329,13 +334,28 @@
             done(Reply(Outcome.UNSENT))
             return
         backend = str(act.backend)
-        head = dialect.hand_off(held.parcel, act.time_out)
-        errand = Errand([head, held.parcel.body], self.told + act.time_out, done)
+        errand = self._errand(act, held, done)
         held.out[act.number] = errand
         if not self.pools.carry(backend, errand):
             self.counters["hand-offs without a connection"] += 1
             done(Reply(Outcome.UNSENT))
 
+    def _errand(self, act: HandOff, held: Held, done: Callable[[Reply], None]) -> Errand:
+        parcel = held.parcel
+        time_out = act.time_out
+        if parcel.upload is not None:
+            # Its expiry lies as far off as the slowest upload; its answer's wait runs from its last byte.
+            time_out = max(1, held.slot.by - self.told - SLOWEST - 2 * WAY)
+        errand = Errand(dialect.hand_off(parcel, time_out), self.told + act.time_out, done)
+        errand.bare = parcel.method == b"HEAD"
+        if parcel.upload is not None:
+            errand.upload, errand.wait = parcel.upload, time_out
+            errand.handed_on = lambda: self.queue.put((self._handed_on, (act.work_item, act.number)))
+        return errand
+
+    def _handed_on(self, id: int, number: int) -> None:
+        self._carry_out(self.balancer.handed_on(self._now(), id, number))
+
     def _probe(self, backend: str) -> None:
         def done(reply: Reply) -> None:
             self.queue.put((self._probed, (backend, reply)))
--- a/src/nettledeal/net/transport/budget.py
+++ b/src/nettledeal/net/transport/budget.py
@@ -45,7 +45,6 @@
     backends: Budget
     requests: Stock
     answers: Stock
-    longest_answer: int
 
 
 def shares(sockets: int, memory_mb: int, door: bool = False) -> Shares:
@@ -56,5 +55,4 @@
     whole = min(sockets - _APART - (DOOR if door else 0), left // _CONNECTION_KB)
     clients = max(4, int(0.45 * whole))
     half = left * 1024 // 2
-    # No answer takes more than a quarter, or one that never ends would be the last.
-    return Shares(Budget(clients), Budget(max(4, whole - clients)), Stock(half), Stock(half), half // 4)
+    return Shares(Budget(clients), Budget(max(4, whole - clients)), Stock(half), Stock(half))
--- a/src/nettledeal/net/transport/buffers.py
+++ b/src/nettledeal/net/transport/buffers.py
@@ -5,6 +5,7 @@
 from gevent import socket
 
 FIRST = 2048
+WINDOW = 32 * 1024
 
 
 class Full(Exception):
@@ -38,6 +39,15 @@
         self.stock.held -= self.counted
 
 
+def window(stock: Stock) -> Buffer:
+    """What one relay reads into; a small one where memory is short, since what it carries can't be refused
+    any more."""
+    try:
+        return Buffer(WINDOW, stock)
+    except Full:
+        return Buffer(FIRST, stock)
+
+
 class Inbox:
     """Holds one message at a time. Whoever still holds slices of one keeps its buffer; the connection
     goes on with a new one, so nothing is copied but what has come behind the message."""
@@ -48,24 +58,30 @@
         self.buffer = Buffer(FIRST, stock)
         self.filled = 0
 
-    def read(self, sock: socket.socket, whole: int | None = None) -> int:
-        """Blocks; the number of bytes that came, 0 at the end. `whole` is the message's size, if known."""
-        if self.filled == len(self.buffer):
+    def read(self, sock: socket.socket, whole: int | None = None, kept: int | None = None) -> int:
+        """Blocks; the number of bytes that came, 0 at the end. `whole` is the message's size, if known; where
+        only the first bytes are still needed, `kept` tells how many."""
+        if self.filled == len(self.buffer) and (kept is None or self.filled < self.most):
             # By what has come, not by what the head claims: a claim costs its sender nothing.
             size = min(4 * len(self.buffer), whole or self.most, self.most)
             if size <= self.filled:
                 raise Full
             # No slice is out before a message is whole, but one of its forerunner may be: so no resizing.
             grown = Buffer(size, self.stock)
-            grown[: self.filled] = memoryview(self.buffer)[: self.filled]
+            copied = self.filled if kept is None else kept
+            grown[:copied] = memoryview(self.buffer)[:copied]
             self.buffer = grown
+        if kept is not None:
+            self.filled = kept
         count = sock.recv_into(memoryview(self.buffer)[self.filled :])
         self.filled += count
         return count
 
     def next(self, used: int) -> None:
         """Starts on the message behind the first `used` bytes."""
-        rest = memoryview(self.buffer)[used : self.filled]
+        self.put(memoryview(self.buffer)[used : self.filled])
+
+    def put(self, rest: memoryview | bytes) -> None:
         fresh = Buffer(max(FIRST, len(rest)), self.stock)
         fresh[: len(rest)] = rest
         self.buffer, self.filled = fresh, len(rest)
--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -14,15 +15,19 @@
 from nettledeal.net.address import Address
 from nettledeal.net.clock import SECOND, Clock
 from nettledeal.net.counters import Counters
+from nettledeal.net.protocol.backend import Rest
+from nettledeal.net.protocol.bodies import LAST_CHUNK, Malformed, chunk
 from nettledeal.net.protocol.client import Asking, Parcel, answer
-from nettledeal.net.protocol.framing import MOST_BODY, Malformed, most_message
+from nettledeal.net.protocol.framing import MOST_BODY, MOST_MESSAGE
 from nettledeal.net.transport.budget import OVERFLOW, Budget
 from nettledeal.net.transport.buffers import Full, Inbox, Stock
+from nettledeal.net.transport.relay import GRACE, PACE, SLOWEST, Upload
 from nettledeal.net.transport.sockets import bound, peek, send_all, smooth, wait_for
 
-# A request comes whole within this time, or its client is told and the place is free again: from the accept,
-# or from its first byte on a connection used before. From the last byte, a trickle would hold the place.
-WHOLE = 2.0
+# A head comes whole within this time, or its client is told and the place is free again: from the accept, or
+# from its first byte on a connection used before. From the last byte, a trickle would hold the place. A body
+# then has the pace of an upload.
+HEAD = 2.6
 # A connection that has been served rests for so long; the shorter time while half of the places are taken.
 RESTS, RESTS_SHORT = 60.0, 2.0
 # From this part of the places on, each new connection ends one that is silent or has rested longest.
@@ -42,6 +47,9 @@
 # And from then on those that have said nothing for so long: they came all the same.
 EMPTIED = SECOND // 5
 
+# The longest that an answer may be on its way whatever its expiry is: that of an upload lies far off.
+LONGEST = 60 * SECOND
+
 _spill = bytearray(64 * 1024)  # where that goes; nobody looks at it
 
 
@@ -55,13 +63,24 @@
     lines: bytes = b""
     come_back: Time = 0
     by: Time = 0  # the expiry
+    rest: Rest | None = None  # of a long body
+    left: bool = False  # nobody waits any more
 
     def put(
-        self, status: HTTPStatus, body: memoryview | bytes = b"", lines: bytes = b"", come_back: Time = 0
+        self, status: HTTPStatus, body: memoryview | bytes = b"", lines: bytes = b"", come_back: Time = 0,
+        rest: Rest | None = None,
     ) -> None:
         self.status, self.body, self.lines, self.come_back = status, body, lines, come_back
+        self.rest = rest
+        if self.left:
+            self.leave()
         self.ready.set()
 
+    def leave(self) -> None:
+        self.left = True
+        if self.rest is not None:
+            self.rest.end(False)
+
 
 class Guest:
     """One client's connection."""
@@ -70,7 +89,7 @@
         self.listener = listener
         self.sock = sock
         self.welcome = welcome
-        self.inbox = Inbox(listener.stock, most_message(MOST_BODY))
+        self.inbox = Inbox(listener.stock, MOST_MESSAGE)
         self.since = listener.clock.came()  # the accept, then the first byte of each request
         self.served = False
         self.read_at: Time = 0
@@ -98,7 +117,7 @@
 
     def _one(self) -> bool:
         """One request and its answer; whether another may follow."""
-        asking = Asking()
+        asking = Asking(self.listener.longest)
         try:
             used = self._read(asking)
             if used is None:
@@ -106,7 +125,7 @@
             if asking.ready_check:
                 self._send(asking, self.listener.health())
             else:
-                self._answer(asking, asking.parcel())
+                used = self._answer(asking, asking.parcel(), used)
         except Malformed as fault:
             self.listener.counters["requests malformed"] += 1
             # Where it ends is in doubt, so nothing behind it can be read.
@@ -124,12 +143,15 @@
             self.listener.counters.fault("guest")
             self._refuse(Malformed(HTTPStatus.INTERNAL_SERVER_ERROR, "a fault of the agent"))
             return False
+        if used is None:
+            return False
         self.inbox.next(used)
         self.served = True
         return self._keeps(asking)
 
     def _keeps(self, asking: Asking) -> bool:
-        return asking.keeps and self.welcome and not self.listener.draining
+        # Those of HTTP/1.0 would have to be told that it stays open.
+        return asking.keeps and not asking.dated and self.welcome and not self.listener.draining
 
     def _read(self, asking: Asking) -> int | None:
         told = False
@@ -139,23 +161,32 @@
         if self.served:
             self.since = now
         self.listener.reading[self] = now
-        left = self._left()
+        headed = None
         try:
-            with gevent.Timeout(left, Malformed(HTTPStatus.REQUEST_TIMEOUT, "it did not come whole")):
-                while (used := asking.look(self.inbox.buffer, self.inbox.filled)) is None:
-                    if asking.expects and not told:
-                        told = True
-                        send_all(self.sock, [b"HTTP/1.1 100 Continue\r\n\r\n"])
-                    if not self.inbox.read(self.sock, asking.whole):
+            while (used := asking.look(self.inbox.buffer, self.inbox.filled)) is None:
+                if asking.handed_on:
+                    return 0
+                if asking.headed and headed is None:
+                    headed = self.listener.clock.now()
+                if asking.expects and not told:
+                    told = True
+                    send_all(self.sock, [b"HTTP/1.1 100 Continue\r\n\r\n"])
+                unfinished = Malformed(HTTPStatus.REQUEST_TIMEOUT, "it did not come whole")
+                with gevent.Timeout(self._left(headed, asking), unfinished):
+                    if not self.inbox.read(self.sock, asking.whole, asking.kept):
                         return None
-                    self.read_at = self.listener.clock.came()
+                self.read_at = self.listener.clock.came()
         finally:
             self.listener.reading.pop(self, None)
         return used
 
-    def _left(self) -> float:
-        """Until a request is to be whole, in seconds."""
-        return max(0.0, WHOLE - (self.listener.clock.now() - self.since) / SECOND)
+    def _left(self, headed: Time | None = None, asking: Asking | None = None) -> float:
+        """Until the head is to be whole or more of the body to have come, in seconds."""
+        now = self.listener.clock.now()
+        if headed is None:
+            return max(0.0, HEAD - (now - self.since) / SECOND)
+        come = asking.come or self.inbox.filled
+        return max(0.0, GRACE + come / PACE - (now - headed) / SECOND)
 
     def _stirs(self) -> bool:
         """Waits between requests; whether another one begins."""
@@ -173,21 +204,55 @@
         # What has begun to come is read, whoever wants the place: it would be lost.
         return bool(peek(self.sock))
 
-    def _answer(self, asking: Asking, parcel: Parcel) -> None:
+    def _answer(self, asking: Asking, parcel: Parcel, used: int) -> int | None:
+        """The bytes of the inbox that are done with; None if no more can be read."""
         slot = Slot()
-        if self.welcome:
-            handle = self.listener.offer(parcel, self.read_at, slot)
-            if handle is not None:
-                self._await(handle, slot)
-        else:
-            # Never passed on, so that trying again is harmless.
-            self.listener.counters["turned away for want of sockets"] += 1
-            slot.put(HTTPStatus.SERVICE_UNAVAILABLE)
-        self._send(asking, slot)
-
-    def _await(self, handle: int, slot: Slot) -> None:
-        watched = True
+        if asking.handed_on and not used:
+            parcel.upload = self._upload(asking, parcel, slot)
+        try:
+            if self.welcome:
+                handle = self.listener.offer(parcel, self.read_at, slot)
+                if handle is not None:
+                    self._await(handle, slot, parcel.upload)
+                if parcel.upload is not None and parcel.upload.fault is not None:
+                    # No more of it comes, whatever was made of that meanwhile.
+                    raise parcel.upload.fault
+            else:
+                # Never passed on, so that trying again is harmless.
+                self.listener.counters["turned away for want of sockets"] += 1
+                slot.put(HTTPStatus.SERVICE_UNAVAILABLE)
+            self._send(asking, slot, parcel.upload)
+        finally:
+            slot.leave()
+            if parcel.upload is not None:
+                parcel.upload.close()
+        if parcel.upload is None:
+            return used
+        if not parcel.upload.body.done:
+            return None
+        self.inbox.put(parcel.upload.behind)
+        return 0
+
+    def _upload(self, asking: Asking, parcel: Parcel, slot: Slot) -> Upload:
+        def told() -> None:
+            # Its time runs from its last byte.
+            if upload.fault is None:
+                slot.by = upload.ended_at + slot.by - self.read_at - SLOWEST
+            slot.ready.set()
+
+        listener = self.listener
+        self.inbox.put(b"")  # its first bytes have been copied
+        upload = Upload(
+            self.sock, asking.message.reader, listener.stock, listener.clock, len(parcel.body), told
+        )
+        return upload
+
+    def _await(self, handle: int, slot: Slot, upload: Upload | None) -> None:
+        watched = upload is None
         while slot.status is None:
+            if upload is not None and upload.fault is not None:
+                self.listener.gone(handle)
+                return
             left = (slot.by - self.listener.clock.now()) / SECOND
             if left <= 0:
                 # Should not be: the routing answers in time. Whatever went wrong, the client is answered.
@@ -199,6 +264,10 @@
             else:
                 slot.ready.wait(left)
             slot.ready.clear()
+            if upload is not None:
+                if upload.open or upload.fault is not None:
+                    continue  # what comes is its body, and not for here
+                watched, upload = not upload.behind, None
             if slot.status is None:
                 seen = peek(self.sock)
                 if seen:
@@ -208,19 +277,44 @@
                     slot.put(HTTPStatus.BAD_GATEWAY)
                     self.listener.gone(handle)
 
-    def _send(self, asking: Asking, slot: Slot) -> None:
+    def _send(self, asking: Asking, slot: Slot, upload: Upload | None = None) -> None:
         status = slot.status or HTTPStatus.BAD_GATEWAY
+        rest = slot.rest
+        length = rest.length if rest is not None else None if asking.bare else len(slot.body)
+        early = upload is not None and not upload.body.done
+        in_chunks = rest is not None and length is None and not asking.dated
         head = answer(
-            status, slot.body, keep=self._keeps(asking), come_back=slot.come_back, lines=slot.lines
+            status, length, keep=self._keeps(asking) and not early, come_back=slot.come_back,
+            lines=slot.lines, chunked=in_chunks,
         )
-        left = max(0, slot.by - self.listener.clock.now()) + BEYOND
+        left = min(max(0, slot.by - self.listener.clock.now()), LONGEST) + BEYOND
         with gevent.Timeout(left / SECOND):
-            send_all(self.sock, [head, slot.body])
+            send_all(self.sock, [head, slot.body if rest is None and not asking.bare else b""])
+        if rest is not None:
+            self._pass_on(rest, in_chunks)
+        if early:
+            # Closing with bytes unread would send a reset, and that could overtake the answer.
+            self.sock.shutdown(socket.SHUT_WR)
+            upload.discard()
+
+    def _pass_on(self, rest: Rest, in_chunks: bool) -> None:
+        """As it comes, however slowly it is read: the line at its other end sees that it moves at all."""
+        try:
+            while pieces := rest.pull():
+                send_all(self.sock, chunk(pieces) if in_chunks else pieces)
+        except OSError:
+            if rest.length is None and not in_chunks:
+                # Its end is that of the connection, and a plain one would pass for the whole.
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            raise
+        if in_chunks:
+            send_all(self.sock, [LAST_CHUNK])
+        rest.end(True)
 
     def _refuse(self, fault: Malformed) -> None:
         body = f"{fault}\n".encode("ascii", "replace")
         with gevent.Timeout(BEYOND / SECOND):
-            send_all(self.sock, [answer(fault.status, body, keep=False), body])
+            send_all(self.sock, [answer(fault.status, len(body), keep=False), body])
             # Closing with bytes unread would send a reset, and that could overtake the answer.
             self.sock.shutdown(socket.SHUT_WR)
         with gevent.Timeout(DRAINS, False):
@@ -235,8 +329,9 @@
     def __init__(
         self, address: Address, clock: Clock, counters: Counters, budget: Budget, stock: Stock,
         offer: Callable[[Parcel, Time, Slot], int | None], gone: Callable[[int], None],
-        overdue: Callable[[int], None],
+        overdue: Callable[[int], None], longest: int = MOST_BODY,
     ):
+        self.longest = longest  # body of a request
         self.clock = clock
         self.counters = counters
         self.budget = budget
--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import nullcontext
 from dataclasses import dataclass
 
 import gevent
@@ -14,13 +15,17 @@
 from nettledeal.net.clock import SECOND, Clock
 from nettledeal.net.counters import Counters
 from nettledeal.net.protocol.backend import Reply, Replying
-from nettledeal.net.protocol.framing import Malformed, most_message
+from nettledeal.net.protocol.bodies import LAST_CHUNK, Malformed, chunk
+from nettledeal.net.protocol.framing import MOST_MESSAGE
 from nettledeal.net.transport.budget import Budget
 from nettledeal.net.transport.buffers import Full, Inbox, Stock
+from nettledeal.net.transport.relay import STALLED, Relay, Upload
 from nettledeal.net.transport.sockets import opened, peek, send_all, smooth, wait_for
 
 # The least patience for a connection to come up: the agent itself may be late by as much.
 QUICK = SECOND * 3 // 100
+# In seconds: so long a good answer whose length is not told may pause and still be kept whole.
+SOON = 0.02
 
 
 @dataclass(slots=True, eq=False)
@@ -34,11 +39,18 @@
     line: Line | None = None
     written: bool = False  # its last byte is the kernel's: from here on it may run
     dropped: bool = False
+    upload: Upload | None = None  # what is still to come of a long body, behind the parts
+    wait: Time = 0  # for the answer, from its last byte
+    handed_on: Callable[[], None] | None = None  # told when the first of it is asked for
+    bare: bool = False  # the answer has no body
+    begun: bool = False  # some of it has been written
 
     def drop(self) -> None:
         """Nobody waits for it any more: its connection ends, and with it what is not yet written."""
         if not self.dropped:
             self.dropped = True
+            if self.upload is not None:
+                self.upload.stop()
             if self.line is not None:
                 self.line.break_off()
 
@@ -50,9 +62,10 @@
         self.pool = pool
         self.sock: socket.socket | None = None
         self.errand: Errand | None = None
-        self.inbox = Inbox(pool.pools.stock, most_message(pool.pools.longest))
+        self.inbox = Inbox(pool.pools.stock, MOST_MESSAGE)
         self.called = Event()
         self.ending = False
+        self.relay: Relay | None = None
 
     def take(self, errand: Errand) -> None:
         errand.line = self
@@ -61,6 +74,8 @@
 
     def break_off(self) -> None:
         self.ending = True
+        if self.relay is not None:
+            return  # what the backend still gives goes through
         if self.errand is None:
             self.called.set()
         elif self.sock is not None:
@@ -79,14 +94,19 @@
                     reply = self._broken(self.errand)
                 # By when it came to the connection: what it waits for its turn within the agent, before or
                 # after, must not pass for the backend's slowness.
-                reply.took = max(1, self.pool.clock.came() - begun)
                 errand, self.errand = self.errand, None
+                if errand.upload is not None:
+                    begun = max(begun, errand.upload.ended_at)
+                reply.took = max(1, self.pool.clock.came() - begun)
                 errand.line = None
                 if keep:
                     self.pool.rest(self)
                 errand.done(reply)
                 # A connection may rest for long: it must not keep its last answer in memory.
                 del errand, reply
+                if self.relay is not None and self._relayed():
+                    keep = True
+                    self.pool.rest(self)
                 if keep:
                     self._rest()
         finally:
@@ -100,32 +120,43 @@
         self.called.clear()
         self.pool.wake(self)
 
+    def _relayed(self) -> bool:
+        """Waits until the client's connection has pulled the rest; whether this one is of further use."""
+        relay = self.relay
+        try:
+            return relay.wait() and not self.pool.closed and not self.ending
+        finally:
+            self.relay = None
+
     def _carry(self, errand: Errand) -> tuple[Reply, bool]:
-        answer = Replying(self.pool.pools.longest)
-        left = (errand.give_up_at - self.pool.clock.now()) / SECOND
+        answer = Replying(self.pool.pools.longest, errand.bare)
+        timer = gevent.Timeout(max(0, errand.give_up_at - self.pool.clock.now()) / SECOND)
         try:
             # Nothing new is sent on what has ended meanwhile: it would be in doubt for no reason.
             if self.sock is not None and peek(self.sock) is not None:
                 self.sock.close()
                 self.sock = None
-            with gevent.Timeout(max(0.0, left)):
-                if errand.dropped or self.pool.closed:
-                    # Recalled, or its backend wants nothing new, before there was a connection.
-                    return Reply(Outcome.UNSENT), False
-                if self.sock is None and not self._late(errand):
-                    self._connect()
-                if self._late(errand):
-                    # Waited for its turn within an agent past its CPU. Sent all the same it would be given up
-                    # at the next look: work begun for nobody, and in doubt where nothing needs to be.
-                    self.pool.counters["hand-offs late before they were sent"] += 1
-                    return Reply(Outcome.UNSENT), self.sock is not None and not self.ending
-                send_all(self.sock, errand.parts)
+            timer.start()
+            if errand.dropped or self.pool.closed:
+                # Recalled, or its backend wants nothing new, before there was a connection.
+                return Reply(Outcome.UNSENT), False
+            if self.sock is None and not self._late(errand):
+                self._connect()
+            if self._late(errand):
+                # Waited for its turn within an agent past its CPU. Sent all the same it would be given up
+                # at the next look: work begun for nobody, and in doubt where nothing needs to be.
+                self.pool.counters["hand-offs late before they were sent"] += 1
+                return Reply(Outcome.UNSENT), self.sock is not None and not self.ending
+            errand.begun = True
+            send_all(self.sock, errand.parts)
+            if errand.upload is None:
                 errand.written = True
-                used = None
-                while used is None:
-                    if not self.inbox.read(self.sock, answer.whole):
-                        raise ConnectionResetError
-                    used = answer.look(self.inbox.buffer, self.inbox.filled)
+            else:
+                timer.close()
+                if not self._upload(errand):
+                    return Reply(Outcome.UNSENT), False
+                timer = gevent.Timeout.start_new(max(0, errand.give_up_at - self.pool.clock.now()) / SECOND)
+            used = self._hear(answer, errand.probe)
         except gevent.Timeout:
             return Reply(Outcome.OVERDUE if errand.written else Outcome.UNREACHABLE), False
         except OSError:
@@ -136,12 +167,71 @@
         except Full:
             self.pool.counters["backend answers beyond the memory"] += 1
             return self._broken(errand), False
+        finally:
+            timer.close()
+        if used is None:
+            return self._long(answer, errand.probe), False
         reply = answer.probed() if errand.probe else answer.reply()
         # Bytes that nobody asked for would be taken for the next answer.
         keep = answer.keeps and used == self.inbox.filled and not self.pool.closed and not self.ending
         self.inbox.next(used)
         return reply, keep
 
+    def _hear(self, answer: Replying, probe: bool) -> int | None:
+        """The bytes that the answer takes; None if it is to be relayed."""
+        used = None
+        while used is None:
+            # One whose length is not known is relayed as soon as it takes its time: it may be long.
+            count = None
+            with gevent.Timeout(SOON, False) if answer.comes and not probe else nullcontext():
+                count = self.inbox.read(self.sock, answer.whole, answer.kept)
+            if count == 0:
+                if not answer.ended():
+                    raise ConnectionResetError
+                return self.inbox.filled
+            if count:
+                used = answer.look(self.inbox.buffer, self.inbox.filled)
+            if used is None and (answer.long or count is None):
+                return None
+        return used
+
+    def _long(self, answer: Replying, probe: bool) -> Reply:
+        """The hand-off ends with the first bytes of a long answer; nobody needs the rest of one that is not
+        good."""
+        reply = answer.reply()
+        if probe:
+            return Reply(Outcome.ERROR)
+        if reply.outcome is Outcome.FINISHED:
+            message = answer.message
+            pool = self.pool
+            self.relay = Relay(
+                self.sock, message.reader, message.pieces, pool.pools.stock, pool.counters, answer.keeps
+            )
+            reply.rest = self.relay
+            self.inbox.put(b"")
+        return reply
+
+    def _upload(self, errand: Errand) -> bool:
+        """Hands on what its client still sends; whether its last byte is the kernel's. Nothing has run before
+        that, whatever comes back."""
+        upload, chunked = errand.upload, errand.upload.length is None
+        if not upload.begin():
+            return False
+        errand.handed_on()
+        while pieces := upload.pull():
+            if peek(self.sock) is not None:
+                # Turned away within, or gone.
+                errand.give_up_at = self.pool.clock.now() + SECOND
+                break
+            with gevent.Timeout(STALLED):
+                send_all(self.sock, chunk(pieces) if chunked else pieces)
+        else:
+            with gevent.Timeout(STALLED):
+                send_all(self.sock, [LAST_CHUNK] if chunked else [])
+            errand.written = True
+            errand.give_up_at = upload.ended_at + errand.wait
+        return True
+
     def _late(self, errand: Errand) -> bool:
         return self.pool.clock.now() >= errand.give_up_at
 
@@ -149,8 +239,9 @@
         if errand.written:
             # After the last byte was given to the kernel nobody knows whether it ran.
             return Reply(Outcome.RECALLED if errand.dropped else Outcome.RESET)
-        # What we ended ourselves says nothing of the backend.
-        return Reply(Outcome.UNSENT if errand.dropped or self.pool.closed else Outcome.UNREACHABLE)
+        # What we or the client ended says nothing of the backend.
+        ours = errand.dropped or self.pool.closed or errand.upload is not None and errand.upload.given_up
+        return Reply(Outcome.UNSENT if ours else Outcome.UNREACHABLE)
 
     def _connect(self) -> None:
         pool = self.pool
@@ -218,7 +309,7 @@
         self.closed = True
         for line in list(self.lines):
             # What is still connecting would send later than the word to stop.
-            if line.errand is None or not line.errand.written:
+            if line.errand is None or not line.errand.begun:
                 line.break_off()
 
 
--- a/src/nettledeal/net/transport/sockets.py
+++ b/src/nettledeal/net/transport/sockets.py
@@ -9,6 +9,9 @@
 
 from nettledeal.net.address import Address
 
+# The kernel takes no more than a thousand at once, and few are quicker as one.
+MOST_PARTS = 32
+
 
 def opened(address: Address) -> socket.socket:
     return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
@@ -36,6 +39,8 @@
 
 def send_all(sock: socket.socket, parts: Sequence[bytes | memoryview]) -> None:
     """Returns once the last byte is the kernel's; an error means that it is not."""
+    if len(parts) > MOST_PARTS:
+        parts = [b"".join(parts)]  # chunks of a few bytes each
     left = [memoryview(part) for part in parts if len(part)]
     while left:
         sent = sock.sendmsg(left)
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,91 @@
+from random import Random
+
+import pytest
+
+from nettledeal.net.protocol.bodies import Chunked, Malformed, Told, ToTheEnd, chunk
+
+MOST = 100_000
+PAYLOAD = bytes(range(256)) * 8
+PARTS = [PAYLOAD[n : n + 300] for n in range(0, len(PAYLOAD), 300)]
+CHUNKS = b"".join(b"%X\r\n%b\r\n" % (len(part), part) for part in PARTS)
+FORMS = {
+    "told": (lambda: Told(MOST, len(PAYLOAD)), PAYLOAD, PAYLOAD, b"next"),
+    "nothing told": (lambda: Told(MOST, 0), b"", b"", b"next"),
+    "to the end": (lambda: ToTheEnd(MOST), PAYLOAD, PAYLOAD, b""),
+    "chunked": (lambda: Chunked(MOST), CHUNKS + b"0\r\n\r\n", PAYLOAD, b"next"),
+    "one byte a chunk": (lambda: Chunked(MOST), b"1\r\na\r\n" * 90 + b"00\r\n\r\n", b"a" * 90, b"GET /"),
+    "extensions": (
+        lambda: Chunked(MOST), b'2;a=b;c="d e"\r\nhi\r\n1 \t; x\r\n!\r\n0;z\r\n\r\n', b"hi!", b"\r\n"
+    ),
+    "trailers": (lambda: Chunked(MOST), b"2\r\nhi\r\n0\r\nX-Sum: 1\r\nEtag:\r\n\r\n", b"hi", b"next"),
+    "no chunk": (lambda: Chunked(MOST), b"0\r\n\r\n", b"", b"next"),
+}
+
+
+def cuts(text, how):
+    if how == "whole":
+        return [text]
+    if how == "bytes":
+        return [text[n : n + 1] for n in range(len(text))]
+    chance, found = Random(how), []
+    while text:
+        size = chance.choice((1, 2, 3, 7, 60, 400))
+        found.append(text[:size])
+        text = text[size:]
+    return found
+
+
+@pytest.mark.parametrize("how", ["whole", "bytes", *range(8)])
+@pytest.mark.parametrize("form", FORMS)
+def test_however_it_is_cut_a_body_is_the_same(form, how):
+    make, text, payload, behind = FORMS[form]
+    body, found, used = make(), b"", 0
+    for piece in cuts(text + behind, how):
+        if body.done:
+            break
+        found += b"".join(body.feed(memoryview(piece)))
+        used += body.used
+    assert found == payload and body.size == len(payload)
+    assert used == len(text)
+    assert body.end() and body.done
+
+
+@pytest.mark.parametrize("form", ["told", "chunked", "trailers"])
+def test_cut_anywhere_it_is_not_whole(form):
+    make, text, _, _ = FORMS[form]
+    for end in range(len(text)):
+        body = make()
+        body.feed(memoryview(text[:end]))
+        assert not body.end(), end
+
+
+BAD = [
+    b"zz\r\n", b"\r\n", b"-1\r\n", b"+1\r\n", b"0x1\r\n", b" 1\r\na\r\n", b"1\na\r\n", b"1\r\na\n",
+    b"1\r\nab\r\n", b"1\r\na0\r\n\r\n", b"1\r\r\n", b"1;\x00\r\n", b"1;a\rb\r\n", b"1234567890abcdef0\r\n",
+    b"1 2\r\n", b"1" * 2000, b"1;" + b"x" * 2000 + b"\r\n", b"0\r\nno colon\r\n\r\n",
+    b"0\r\nX: 1\n\r\n", b"0\r\n X: 1\r\n\r\n",
+    b"0\r\n" + b"X: %b\r\n" % (b"y" * 900) * 20 + b"\r\n", b"20000\r\n" + bytes(131072),
+]
+
+
+@pytest.mark.parametrize("how", ["whole", "bytes"])
+@pytest.mark.parametrize("text", BAD)
+def test_chunks_that_another_reader_may_read_otherwise_are_refused(text, how):
+    body = Chunked(MOST)
+    with pytest.raises(Malformed):
+        for piece in cuts(text, how):
+            body.feed(memoryview(piece))
+        assert not body.done
+        raise AssertionError("taken")
+
+
+def test_no_body_grows_beyond_what_is_allowed():
+    body = ToTheEnd(10)
+    body.feed(memoryview(bytes(10)))
+    with pytest.raises(Malformed):
+        body.feed(memoryview(b"x"))
+
+
+def test_a_chunk_of_nothing_is_none_since_it_would_end_the_body():
+    assert b"".join(chunk([])) == b""
+    assert b"".join(chunk([memoryview(b"ab"), b"c"])) == b"3\r\nabc\r\n"
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,421 @@
+"""Long messages through the whole agent: listener, owner, pools, and peers of ours at either end."""
+
+import gevent
+import pytest
+from gevent import socket
+from helpers import SECOND, Far, Peer, served, settings, until
+
+from nettledeal.decide import Balancer
+from nettledeal.model import Listing
+from nettledeal.net.clock import Clock
+from nettledeal.net.counters import Counters
+from nettledeal.net.protocol.catalogue import News
+from nettledeal.net.routing.owner import Owner
+from nettledeal.net.transport import relay as relay_module
+from nettledeal.net.transport.budget import Budget
+from nettledeal.net.transport.buffers import Stock
+from nettledeal.net.transport.listener import Listener
+from nettledeal.net.transport.pools import Pools
+
+OK = b"HTTP/1.1 200 OK\r\n"
+LONG = bytes(range(256)) * 4 * 1024  # a megabyte
+
+
+class Agent:
+    def __init__(self, *backends, stock=2_000_000, longest=40_000_000, most=32):
+        self.clock, self.counters = Clock(), Counters()
+        self.requests, self.answers = Stock(stock), Stock(stock)
+        self.pools = Pools(
+            self.clock, self.counters, Budget(most), self.answers, longest, SECOND, 60 * SECOND
+        )
+        self.owner = Owner(
+            Balancer(1, settings(), self.clock.now()), self.clock, self.counters, self.pools,
+            {"read": 0, "write": 1}, {}, {}, 100, probe_within=500, reports=False, subscribe=lambda: None,
+        )
+        names = [f"b{n}" for n in range(len(backends))]
+        places = dict(zip(names, (far.address for far in backends), strict=True))
+        self.owner.start(News(1, True, [Listing(name) for name in names], places))
+        self.listener = Listener(
+            ("127.0.0.1", 0), self.clock, self.counters, Budget(most), self.requests,
+            self.owner.offer, self.owner.gone, self.owner.overdue, longest,
+        )
+        gevent.spawn(self.owner.run)
+        gevent.spawn(self.listener.run)
+
+    def connect(self):
+        return Peer(socket.create_connection(self.listener.sock.getsockname()))
+
+    @property
+    def rests(self):
+        return not (self.owner.busy or self.listener.busy or self.requests.held or self.answers.held)
+
+
+def ask(body=b"", category=b"write", id=b"r1", more=b"", length=True, version=b"1.1", method=b"POST"):
+    head = b"%b /api HTTP/%b\r\nHost: s\r\nX-Request-ID: %b\r\n" % (method, version, id)
+    head += b"X-Priority-Class: %b\r\n" % category
+    head += b"X-Timeout-Ms: 3000\r\n" + more
+    return head + (b"Content-Length: %d\r\n" % len(body) if length else b"") + b"\r\n" + body
+
+
+def in_chunks(body, size):
+    pieces = (body[n : n + size] for n in range(0, len(body), size))
+    return b"".join(b"%x;e=1\r\n%b\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\nX-T: 1\r\n\r\n"
+
+
+def says(*texts, close=False, pause=0.0):
+    """Hears a request's head, and sends the texts."""
+
+    def script(peer):
+        while peer.hear():
+            for text in texts:
+                peer.send(text)
+                gevent.sleep(pause)
+            if close:
+                peer.sock.close()
+                return
+
+    return script
+
+
+def all_of(peer):
+    """Up to the end of the connection."""
+    seen = b""
+    while more := peer.sock.recv(65536):
+        seen += more
+    return seen
+
+
+def payload(text):
+    head, _, body = text.partition(b"\r\n\r\n")
+    if b"transfer-encoding: chunked" not in head.lower():
+        return body
+    found = b""
+    while True:
+        size, _, body = body.partition(b"\r\n")
+        if not int(size, 16):
+            assert body == b"\r\n"
+            return found
+        found, body = found + body[: int(size, 16)], body[int(size, 16) + 2 :]
+
+
+ANSWERS = {
+    "told": (served(LONG), False),
+    "chunked": (OK + b"Transfer-Encoding: chunked\r\n\r\n" + in_chunks(LONG, 9_999), False),
+    "small chunks": (OK + b"Transfer-Encoding: chunked\r\n\r\n" + in_chunks(LONG[:100_000], 7), False),
+    "to the end": (OK + b"Connection: close\r\n\r\n" + LONG, True),
+    "HTTP/1.0": (b"HTTP/1.0 200 OK\r\n\r\n" + LONG, True),
+}
+
+
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+@pytest.mark.parametrize("form", ANSWERS)
+def test_a_long_answer_reaches_its_client_byte_by_byte(form, version):
+    text, close = ANSWERS[form]
+    agent = Agent(Far(says(text, close=close)))
+    client = agent.connect().send(ask(more=b"Connection: close\r\n", version=version))
+    seen = all_of(client)
+    assert payload(seen) == (LONG[:100_000] if form == "small chunks" else LONG)
+    assert until(lambda: agent.rests)
+    # One that was whole leaves its connection for the next.
+    assert agent.pools.budget.held == (not close)
+
+
+def test_a_connection_goes_on_behind_a_long_answer_at_either_end():
+    far = Far(says(served(LONG)))
+    agent = Agent(far)
+    client = agent.connect()
+    for n in range(3):
+        assert client.send(ask(id=b"r%d" % n)).hear().endswith(LONG)
+    assert len(far.peers) == 1 == len(agent.listener.guests)
+
+
+def test_the_first_bytes_do_not_wait_for_the_rest():
+    go = gevent.event.Event()
+
+    def script(peer):
+        peer.hear()
+        peer.send(served(LONG)[:70_000])
+        go.wait()
+        peer.send(served(LONG)[70_000:])
+
+    agent = Agent(Far(script))
+    client = agent.connect().send(ask().replace(b"3000", b"100"))
+    assert client.sock.recv(100).startswith(OK)
+    gevent.sleep(0.15)  # its expiry: nothing is cut off that still comes
+    go.set()
+    assert len(all_of_length(client, len(LONG))) >= len(LONG) - 100
+
+
+def all_of_length(client, count):
+    seen = b""
+    while len(seen) < count - 100:
+        seen += client.sock.recv(65536)
+    return seen
+
+
+def test_one_of_unknown_length_that_takes_its_time_is_passed_on_as_it_comes():
+    head = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+    far = Far(says(head + b"2\r\nab\r\n", b"2\r\ncd\r\n", b"0\r\n\r\n", pause=0.06))
+    agent = Agent(far)
+    seen = agent.connect().send(ask(more=b"Connection: close\r\n"))
+    assert payload(all_of(seen)) == b"abcd"
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        served(LONG)[:500_000],
+        OK + b"Transfer-Encoding: chunked\r\n\r\n" + in_chunks(LONG, 9_999)[:500_000],
+        OK + b"Transfer-Encoding: chunked\r\n\r\n" + in_chunks(LONG, 9_999)[:500_000] + b"\r\nnoise\r\n",
+    ],
+)
+def test_a_break_can_be_told_by_the_client_and_nothing_is_tried_again(text):
+    fars = [Far(says(text, close=True)) for _ in range(2)]
+    agent = Agent(*fars)
+    seen = all_of(agent.connect().send(ask(category=b"read")))
+    assert seen.startswith(OK) and len(seen) < len(LONG)
+    assert not seen.endswith(b"0\r\n\r\n")
+    assert sum(len(far.peers) for far in fars) == 1
+    assert until(lambda: agent.rests and not agent.pools.budget.held)
+
+
+def test_who_reads_slowly_holds_up_who_sends_and_takes_one_window():
+    sent = [0]
+
+    def script(peer):
+        peer.hear()
+        peer.send(OK + b"Content-Length: 30000000\r\n\r\n")
+        for _ in range(3000):
+            peer.send(bytes(10_000))
+            sent[0] += 10_000
+
+    agent = Agent(Far(script))
+    client = agent.connect()
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    client.send(ask())
+    assert client.sock.recv(100)
+    gevent.sleep(0.1)
+    assert sent[0] < 15_000_000
+    assert agent.answers.held <= 2 * 64 * 1024
+    client.sock.close()  # gone half-way: so is the backend's connection
+    assert until(lambda: agent.rests and not agent.pools.budget.held)
+
+
+@pytest.mark.parametrize("who", ["backend", "client"])
+def test_a_relay_in_which_nothing_moves_ends_and_is_counted(who, monkeypatch):
+    monkeypatch.setattr(relay_module, "STALLED", 0.05)
+
+    def script(peer):
+        peer.hear()
+        peer.send(OK + b"Content-Length: 30000000\r\n\r\n" + bytes(100_000))
+        if who == "client":
+            while True:
+                peer.send(bytes(100_000))
+        gevent.sleep(60)
+
+    agent = Agent(Far(script))
+    client = agent.connect().send(ask())
+    assert until(lambda: agent.counters["relays of answers stalled"] == 1)
+    assert until(lambda: not agent.pools.budget.held)
+    client.sock.close()
+
+
+def test_a_body_beyond_the_limit_costs_one_attempt_and_bounded_memory():
+    agent = Agent(
+        Far(says(OK + b"Content-Length: 3000000000\r\n\r\n" + bytes(90_000))), longest=2_000_000
+    )
+    assert agent.connect().send(ask()).hear().startswith(b"HTTP/1.1 502 ")
+
+    def endless(peer):
+        peer.hear()
+        peer.send(OK + b"Transfer-Encoding: chunked\r\n\r\n")
+        while True:
+            peer.send(b"2000\r\n" + bytes(8192) + b"\r\n")
+
+    agent = Agent(Far(endless), longest=500_000)
+    seen = all_of(agent.connect().send(ask()))
+    assert len(seen) < 600_000 and not seen.endswith(b"0\r\n\r\n")
+
+
+def test_a_long_answer_to_a_client_that_has_left_frees_its_connection():
+    far = Far(says(served(LONG), pause=0.05))
+    agent = Agent(far)
+    client = agent.connect().send(ask())
+    client.sock.close()
+    assert until(lambda: far.peers and agent.rests and not agent.pools.budget.held)
+
+
+class Backend(Far):
+    """Reads whole requests with their bodies, and answers with how long they were."""
+
+    def __init__(self, answer=None, stop_after=None):
+        self.bodies, self.heads, self.answer, self.stop_after = [], [], answer, stop_after
+        super().__init__(self._serve_one)
+
+    def _serve_one(self, peer):
+        rest = b""
+        while True:
+            while b"\r\n\r\n" not in rest:
+                more = peer.sock.recv(65536)
+                if not more:
+                    return
+                rest += more
+            head, _, rest = rest.partition(b"\r\n\r\n")
+            self.heads.append(head)
+            body, rest, whole = self._body(peer, head, rest)
+            if not whole:
+                return
+            self.bodies.append(body)
+            peer.send(served(b"%d" % len(body)))
+
+    def _body(self, peer, head, rest):
+        chunked = b"transfer-encoding: chunked" in head.lower()
+        length = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line[15:])
+        while not (rest.endswith(b"0\r\n\r\n") if chunked else len(rest) >= length):
+            if self.stop_after is not None and len(rest) >= self.stop_after:
+                if self.answer:
+                    peer.send(self.answer)
+                    gevent.sleep(0.05)
+                peer.sock.close()
+                return b"", b"", False
+            more = peer.sock.recv(65536)
+            if not more:
+                return b"", b"", False
+            rest += more
+        if chunked:
+            return payload(head + b"\r\n\r\n" + rest), b"", True
+        return rest[:length], rest[length:], True
+
+
+@pytest.mark.parametrize("form", ["told", "chunked", "told, asked first"])
+@pytest.mark.parametrize("size", [70_000, len(LONG)])
+def test_a_long_request_reaches_its_backend_byte_by_byte(form, size):
+    far = Backend()
+    agent = Agent(far)
+    client = agent.connect()
+    body = LONG[:size]
+    for n in range(2):
+        id = b"r%d" % n
+        if form == "told":
+            client.send(ask(body, id=id))
+        elif form == "chunked":
+            head = ask(id=id, more=b"Transfer-Encoding: chunked\r\n", length=False)
+            client.send(head + in_chunks(body, 5_000))
+        else:
+            text = ask(body, id=id, more=b"Expect: 100-continue\r\n")
+            client.send(text[:-size])
+            assert client.hear().startswith(b"HTTP/1.1 100 ")
+            client.send(text[-size:])
+        assert client.hear().endswith(b"%d" % size)
+    assert far.bodies == [body, body]
+    assert until(lambda: agent.rests)
+
+
+def test_what_is_pipelined_behind_a_long_request_is_not_lost():
+    far = Backend()
+    agent = Agent(far)
+    client = agent.connect().send(ask(LONG, id=b"r1") + ask(b"two", id=b"r2"))
+    seen = client.hear(end=b"Content-Length: 1")
+    while seen.count(b"HTTP/1.1 200") < 2:
+        seen += client.sock.recv(1000)
+    assert until(lambda: far.bodies == [LONG, b"two"])
+
+
+def test_its_time_runs_from_its_last_byte():
+    far = Backend()
+    agent = Agent(far)
+    text = ask(LONG[:100_000]).replace(b"3000", b"150")
+    client = agent.connect().send(text[:60_000])
+    gevent.sleep(0.2)  # more than it may wait for the answer
+    assert client.send(text[60_000:]).hear().endswith(b"100000")
+    # And the backend hears of that time, not of the slowest upload's.
+    assert b"X-Timeout-Ms: 14" in far.heads[0]
+
+
+def test_a_break_before_its_last_byte_has_not_run_and_is_deferred_not_sent_again():
+    fars = [Backend(stop_after=200_000) for _ in range(2)]
+    agent = Agent(*fars)
+    client = agent.connect()
+    writer = gevent.spawn(client.send, ask(LONG))
+    assert client.hear().startswith(b"HTTP/1.1 503 ")
+    writer.join(5)
+    assert writer.successful(), "what it still sent was read, or it would have met a reset"
+    assert sum(len(far.heads) for far in fars) == 1
+    assert until(lambda: agent.rests)
+
+
+def test_a_backend_that_turns_it_away_within_has_not_run_it():
+    full = served(b"", status=b"503 Full", more=b"X-Not-Processed: 1\r\n")
+    agent = Agent(Backend(answer=full, stop_after=200_000))
+    client = agent.connect()
+    gevent.spawn(client.send, ask(LONG))
+    assert client.hear().startswith(b"HTTP/1.1 503 ")
+    assert until(lambda: agent.rests)
+
+
+def test_where_nothing_of_it_was_asked_for_yet_it_goes_elsewhere():
+    dead = socket.socket()
+    dead.bind(("127.0.0.1", 0))
+    far = Backend()
+    down = type("Down", (), {"address": dead.getsockname()})
+    agent = Agent(down, down, far)
+    for n in range(8):
+        assert agent.connect().send(ask(LONG, id=b"r%d" % n)).hear().endswith(b"%d" % len(LONG))
+    assert far.bodies == [LONG] * 8
+
+
+@pytest.mark.parametrize("end", ["closes", "stops", "garbles"])
+def test_a_client_that_never_sends_the_rest_costs_its_backend_nothing(end, monkeypatch):
+    monkeypatch.setattr(relay_module, "GRACE", 0.05)
+    monkeypatch.setattr(relay_module, "PACE", 10_000_000)
+    far = Backend()
+    agent = Agent(far)
+    if end == "garbles":
+        text = ask(more=b"Transfer-Encoding: chunked\r\n", length=False) + in_chunks(LONG[:300_000], 5_000)
+        client = agent.connect().send(text.removesuffix(b"0\r\nX-T: 1\r\n\r\n") + b"zz\r\n\r\n")
+        assert client.hear().startswith(b"HTTP/1.1 400 ")
+    else:
+        client = agent.connect().send(ask(LONG)[:300_000])
+        if end == "closes":
+            client.sock.close()
+        else:
+            assert client.hear().startswith(b"HTTP/1.1 408 ")
+    assert until(lambda: agent.rests and not agent.pools.budget.held)
+    assert not far.bodies
+    b = agent.owner.balancer.facts.backends["b0"]
+    assert not b.distrust and not b.own
+
+
+def test_slow_uploads_hold_no_memory_but_their_first_bytes_and_a_window():
+    far = Backend()
+    agent = Agent(far, most=64)
+    clients = []
+    while len(clients) < 20:
+        clients.append(agent.connect().send(ask(LONG, id=b"r%d" % len(clients))[:100_000]))
+        assert until(lambda: len(far.heads) == len(clients))
+    gevent.sleep(0.02)
+    assert agent.requests.held <= 20 * 100 * 1024
+    # The usual clients go on.
+    assert agent.connect().send(ask(b"hi", id=b"usual")).hear().endswith(b"2")
+    for client in clients:
+        client.sock.close()
+    assert until(lambda: agent.rests)
+
+
+def test_a_head_alone_is_asked_for_and_answered_with_one():
+    def script(peer):
+        while heard := peer.hear():
+            assert heard.startswith(b"HEAD ")
+            peer.send(OK + b"Content-Length: 900\r\nX-A: 1\r\n\r\n")
+
+    client = Agent(Far(script)).connect()
+    for n in range(2):
+        client.send(ask(id=b"r%d" % n, method=b"HEAD", length=False, category=b"read"))
+        seen = b""
+        while b"\r\n\r\n" not in seen:
+            seen += client.sock.recv(4096)
+        assert seen.startswith(OK) and seen.endswith(b"\r\n\r\n") and b"X-A: 1" in seen
+        assert b"Content-Length: 900" in seen
