--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -44,7 +44,10 @@
 # A forerunner that is just ending may still hold the address.
 BIND_WITHIN = 2.0
 # What was built by it at the start, or is bound to the module's memory; seed and known list are for a start.
-FIXED = ("name", "listen", "admin", "memory_mb", "sockets", "longest", "settings")
+FIXED = ("name", "listen", "admin", "memory_mb", "sockets", "longest")
+# Settings that were built in at the start, too.
+BUILT = ("zone", "zones", "kinds", "discovery", "feedback", "resolution", "allowed.conn_idle",
+         "allowed.connect_timeout")
 
 
 class Log:
@@ -80,7 +83,7 @@
             self.pools,
             categories,
             told.numbers("projects"),
-            {name: settings.get(f"categories.{n}.expiry", SECOND) for name, n in categories.items()},
+            told.waits(),
             told.setting("allowed.max_open"),
             probe_within=connect_within // 4,
             reports=told.setting("feedback.via") != "silent",
@@ -91,8 +94,6 @@
             told.discovery, Random(told.seed + 1), self.counters, self.catalogue, self.owner.news,
             self.owner.lost, self.known.base if self.known else None,
         )
-        waits = [settings.get(f"categories.{n}.expiry", 0) for n in categories.values()]
-        self.longest = max(waits, default=SECOND)
         self.listener = self._listener(within)
         self.door = self._door()
         self.stopping = Event()
@@ -175,7 +176,7 @@
     def _stop(self) -> None:
         """Clients come for a while yet, and what has been taken is answered before the end."""
         log.info("stopping", open=len(self.owner.held))
-        end = self.clock.now() + int(self.longest + LINGER * SECOND)
+        end = self.clock.now() + int(max(self.owner.waits.values(), default=SECOND) + LINGER * SECOND)
         # Connections that rest end now: their clients come anew while the listener still stands.
         self.listener.draining = True
         self.listener.close_idle()
@@ -205,13 +206,23 @@
                 self.counters.fault("reload")
 
     def _reload(self) -> None:
+        """The whole file is checked before anything is touched; then all of it is in force in one step."""
         old, new = self.told, configuration.read(os.environ)
+        configuration.successor(old, new)
         later = [key for key in FIXED if getattr(new, key) != getattr(old, key)]
+        later += [f"settings.{key}" for key in BUILT if new.group(key) != old.group(key)]
         if later:
             log.warning("these take effect only at a restart", keys=later)
         if new.log_level != old.log_level:
             configure_log(new.log_level)
-        self.told = replace(old, discovery=new.discovery, log_level=new.log_level)
+        if new.settings != old.settings:
+            self.owner.retune(
+                {**new.settings, **{name: value for key in BUILT for name, value in old.group(key).items()}},
+                new.numbers("projects"), new.waits(), new.setting("allowed.max_open"),
+            )
+        self.told = replace(
+            old, discovery=new.discovery, log_level=new.log_level, settings=new.settings, keys=new.keys
+        )
         self.lookout.move(new.discovery)
         log.info("reloaded", discovery=written(new.discovery))
 
--- a/src/nettledeal/configuration.py
+++ b/src/nettledeal/configuration.py
@@ -56,11 +56,22 @@
     known: dict[str, Any]
     settings: Mapping[str, Any]  # flat, in the project's words and units
     log_level: str
+    keys: Mapping[str, Any]  # the file as it was, nested
 
     def setting(self, name: str) -> Any:
         """One that the agent itself goes by, not the module."""
         return self.settings.get(name, _DEFAULTS[name])
 
+    def waits(self) -> dict[str, int]:
+        """How long clients wait where they don't say, by category."""
+        numbers = self.numbers("categories").items()
+        return {name: self.settings.get(f"categories.{n}.expiry", SECOND) for name, n in numbers}
+
+    def group(self, name: str) -> dict[str, Any]:
+        """One of the settings with all below it."""
+        inner = name + "."
+        return {key: self.settings[key] for key in self.settings if key == name or key.startswith(inner)}
+
     def text(self, name: str) -> list[str]:
         """A list among the settings, by its names."""
         return [part for part in str(self.settings.get(name, "")).split(",") if part]
@@ -86,6 +97,9 @@
 _FLAGS = ("allowed.may_duplicate", "allowed.cancelling", "allowed.probes", "allowed.retry_after",
           "family_info.warm_keys")
 _GROUPS = ("all", "zone", "cell")
+# A day, and more attempts than anybody wants: beyond that a number is a slip.
+_LONGEST = 24 * 3600 * SECOND
+_MOST = 1000
 _LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -130,9 +144,51 @@
         known=file.known,
         settings=settings(file.settings),
         log_level=file.log_level,
+        keys=_keys(raw),
     )
 
 
+def successor(old: Told, new: Told) -> None:
+    """Whether a new file may take the place of the one in force: a key that went missing or a deadline of
+    nothing is a slip, and half of a file may well be JSON."""
+    _has_all(old.keys, new.keys, "")
+    for n in range(new.settings.get("categories.count", 0)):
+        for last in ("expiry", "due_time"):
+            _above(f"categories.{n}.{last}", new.settings, _LONGEST)
+    _above("allowed.most_hand_offs", new.settings, _MOST)
+
+
+def _keys(raw: bytes) -> dict[str, Any]:
+    keys = msgspec.json.decode(raw, type=dict[str, Any])
+    # The list as it once was, which may be long: that there is one is enough.
+    return keys | {"known": {}} if "known" in keys else keys
+
+
+def _has_all(old: Any, new: Any, path: str) -> None:
+    """Lists of objects are told apart by name; those that are new have what all others have."""
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key, inner in old.items():
+            where = f"{path}.{key}" if path else key
+            if key not in new:
+                raise Fault(f"{where}: missing, and the file in force has it")
+            _has_all(inner, new[key], where)
+    elif isinstance(old, list) and isinstance(new, list):
+        known = {str(inner.get("name")): inner for inner in old if isinstance(inner, dict)}
+        usual = [inner.keys() for inner in known.values()]
+        shared = {key: None for key in usual[0] if all(key in keys for keys in usual)} if usual else {}
+        for n, inner in enumerate(new):
+            if isinstance(inner, dict):
+                _has_all(known.get(str(inner.get("name")), shared), inner, f"{path}.{n}")
+    elif old is not None and (isinstance(new, dict | list) or isinstance(old, dict | list)):
+        raise Fault(f"{path}: {type(new).__name__} in place of {type(old).__name__}")
+
+
+def _above(name: str, found: Mapping[str, Any], most: int) -> None:
+    value = found.get(name)
+    if value is not None and not 0 < value <= most:
+        raise Fault(f"settings.{name}: {value} is no number from 1 to {most}")
+
+
 def address(key: str, text: str) -> Address:
     try:
         return parsed(text)
--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -66,6 +66,8 @@
 PROBE_SPEND = 0.01
 # Backends looked at in one decision, at home and as many away: beyond a dozen, chance finds one as good.
 SAMPLE = 12
+# Categories kept that the settings name no more.
+DROPPED = 16
 
 
 def mark_of(text: str) -> int:
@@ -97,7 +99,6 @@
     """What the stages share: the settings, the chance, the categories and the backends heard of."""
 
     def __init__(self, seed: int, settings: Mapping):
-        self.settings = settings
         self.chance = Random(seed)
         self.backends: dict[BackendId, Backend] = {}
         # Those that run, by where they stand; a decision looks at a sample of each, or its cost would
@@ -105,23 +106,36 @@
         self.near: list[Backend] = []
         self.far: list[Backend] = []
         self.running = 0
-        self.warm_keys = bool(self.get("family_info.warm_keys", False))
-        self.sized = self.get("weights", "silent") in ("nominal", "rough")
         self.circle: list[tuple[int, Backend]] = []
         self.out: dict[BackendId, Time] = {}  # of service by an operator's call, since when
         self.owed: dict[BackendId, Time] = {}  # back in service, and when each is tried next
         self.recent: deque[Backend] = deque(maxlen=SAMPLE // 2)  # heard from last
+        self.categories: list[Category] = []
+        # A category out of range has unknown rights: it gets the strictest ones.
+        self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
+        self.open, self.mean_open = 0, 0.0  # hand-offs out now, and over the last seconds
+        self.open_at = self.sent_at = 0  # when they changed, and when the last one was sent
+        self.tune(settings)
+
+    def tune(self, settings: Mapping) -> None:
+        self.settings = settings
+        self.warm_keys = bool(self.get("family_info.warm_keys", False))
+        self.sized = self.get("weights", "silent") in ("nominal", "rough")
         self.agents = max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
         self.may_recall = bool(self.get("allowed.cancelling", False))
         self.may_probe = bool(self.get("allowed.probes", False))
         self.by_work = self.get("payoff_by", "request") == "work"
-        self.categories = [self._category(f"categories.{n}.") for n in range(self.get("categories.count", 0))]
-        # A category out of range has unknown rights: it gets the strictest ones.
-        self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
-        self.open, self.mean_open = 0, 0.0  # hand-offs out now, and over the last seconds
-        self.open_at = self.sent_at = 0  # when they changed, and when the last one was sent
+        old = {category.name: category for category in self.categories}
+        found = [self._category(f"categories.{n}.") for n in range(self.get("categories.count", 0))]
+        for category in found:
+            # Anew, as what is open keeps the object that it came with; what was learned stays with the name.
+            if was := old.pop(category.name, None):
+                category.usual, category.base, category.seen = was.usual, was.base, was.seen
+                category.work = was.work
+        # Behind them those that are named no more, for clients a moment behind the change.
+        self.categories, self.named = found + list(old.values())[:DROPPED], len(found)
 
     def get(self, name: str, default):
         return self.settings.get(name, default)
@@ -182,6 +196,7 @@
             effect=Effect(self.get(prefix + "effect", "exclusive")),
             group=Group(self.get(prefix + "group", "all")),
             window=self.get(prefix + "window", 0),
+            name=str(self.get(prefix + "name", prefix.split(".")[1])),
         )
 
     def category(self, index: int) -> Category:
@@ -189,7 +204,8 @@
 
     def guess(self, category: Category) -> float:
         """Before any answer: as large a part of the due time as other categories take."""
-        known = [other.base / other.due for other in self.categories if other.base and other.due]
+        named = self.categories[: self.named]
+        known = [other.base / other.due for other in named if other.base and other.due]
         return (sum(known) / len(known) if known else 0.2) * (category.due or SECOND)
 
     def expected(self, category: Category, work: float | None) -> float:
@@ -207,10 +223,13 @@
     def __init__(self, facts: Facts):
         self.facts = facts
         self.open: dict[WorkItemId, WorkItem] = {}
-        self.most = facts.get("allowed.most_hand_offs", 1) or 1
+        self.tune()
+
+    def tune(self) -> None:
+        self.most = self.facts.get("allowed.most_hand_offs", 1) or 1
 
     def out(self, p: Passage) -> bool:
-        return p.now < p.wi.expiry and len(p.wi.sent) < self.most
+        return p.now < p.wi.expiry and len(p.wi.sent) < p.wi.most
 
     def answer(self, wi: WorkItem, come_back: Time) -> Answer:
         del self.open[wi.id]
@@ -233,13 +252,7 @@
     def __init__(self, facts: Facts, memory: Memory):
         self.facts = facts
         self.memory = memory
-        self.longest_wait = 0
-        if facts.get("allowed.retry_after", False):
-            self.longest_wait = facts.get("allowed.max_retry_after", 0)
-        self.surplus = float(facts.get("surplus_payoff", 1.0))
-        count = facts.get("projects.count", 0)
-        self.shares = [float(facts.get(f"projects.{n}.share", 0.0)) for n in range(count)]
-        self.usage = Ring(5 * SECOND, max(1, count), 10)
+        self.tune()
         self.outlook = 0.0
         # Own hand-offs out for each sound backend. Until answers say otherwise, an equal share of what
         # crowds a backend: all agents may start at once, each seeing idle backends.
@@ -250,6 +263,16 @@
         self.safe = 4 * CROWD
         self.cut_at, self.was_cut = 0, False
 
+    def tune(self) -> None:
+        facts = self.facts
+        self.longest_wait = 0
+        if facts.get("allowed.retry_after", False):
+            self.longest_wait = facts.get("allowed.max_retry_after", 0)
+        self.surplus = float(facts.get("surplus_payoff", 1.0))
+        count = facts.get("projects.count", 0)
+        self.shares = [float(facts.get(f"projects.{n}.share", 0.0)) for n in range(count)]
+        self.usage = Ring(5 * SECOND, max(1, count), 10)
+
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
             self.usage.add(now, wi.customer, self.facts.expected(wi.category, wi.work))
@@ -262,7 +285,7 @@
 
     def _rank(self, wi: WorkItem, now: Time) -> float:
         """Payoff for the work it costs, against the best category's: 0 to 1."""
-        best = max(map(self._density, self.facts.categories), default=0.0)
+        best = max(map(self._density, self.facts.categories[: self.facts.named]), default=0.0)
         rank = self._density(wi.category) / best if best > 0 else 1.0
         if wi.again:
             rank *= 0.7  # part of its due time has gone, and a storm of retries feeds on being served
@@ -376,13 +399,17 @@
 
     def __init__(self, facts: Facts):
         self.facts = facts
+        self.median = 0.0
+        self.median_at = -SECOND
+        self.judged: dict[BackendId, tuple[Backend, Time]] = {}  # of late, the oldest first
+        self.tune()
+
+    def tune(self) -> None:
+        facts = self.facts
         self.factor = float(facts.get("rules.overload_factor", 1.0))
         self.span = max(1, facts.get("rules.tip_after", SECOND))
         self.cold_from = float(facts.get("rules.cold_from", 0.1))
         self.warm_within = max(1, facts.get("rules.warm_within", 30 * SECOND))
-        self.median = 0.0
-        self.median_at = -SECOND
-        self.judged: dict[BackendId, tuple[Backend, Time]] = {}  # of late, the oldest first
 
     def capacity(self, backend: Backend, now: Time) -> float:
         started = backend.started
@@ -854,7 +881,7 @@
         if kind.due and not long:
             allowed = kind.due + int(kind.stretch * (work or 0))
             due = min(expiry, self._first_taken(now, kind, expiry, again) + allowed)
-        wi = WorkItem(id, kind, now, due, expiry, customer, work, again, key)
+        wi = WorkItem(id, kind, now, due, expiry, customer, work, again, self.ledger.most, key)
         self.ledger.open[id] = wi
         self.admission.taken(wi, now)
         if key is not None and self.facts.warm_keys:
@@ -911,6 +938,13 @@
             self.roster_keeper.heard()
         return self._step(now)
 
+    def retune(self, now: Time, settings: Mapping) -> Step:
+        """Other settings; what is open keeps the category that it came with."""
+        self.facts.tune(settings)
+        for stage in (self.ledger, self.admission, self.soundness):
+            stage.tune()
+        return self._step(now)
+
     def cordon(self, now: Time, id: BackendId) -> bool:
         """Out of service until `uncordon`, whatever the list says; whether there is such a backend."""
         facts, b = self.facts, self.facts.backends.get(id)
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -45,6 +45,8 @@
 LATE = 50
 # How often the owner looks at how late it runs when nothing else wakes it.
 LOOK = SECOND // 4
+# How long a category is still understood that the settings name no more.
+BEHIND = 5 * SECOND
 
 
 @dataclass(slots=True, eq=False)
@@ -56,6 +58,10 @@
     out: dict[int, Errand] = field(default_factory=dict)
 
 
+def _by_name_or_number(customers: dict[str, int]) -> dict[str, int]:
+    return customers | {str(n): n for n in customers.values()} | {"": 0}
+
+
 class Owner:
     def __init__(
         self, balancer: Balancer, clock: Clock, counters: Counters, pools: Pools,
@@ -68,8 +74,9 @@
         self.pools = pools
         self.categories = categories
         # By name and by number; one that no setting names has no share, and 0 where nobody has one.
-        self.customers = customers | {str(n): n for n in customers.values()} | {"": 0}
+        self.customers = _by_name_or_number(customers)
         self.waits = waits
+        self.retired: dict[str, Time] = {}  # categories that the settings name no more, until when
         self.most = most
         self.probe_within = probe_within
         self.reports = reports
@@ -93,7 +100,7 @@
 
     def offer(self, parcel: Parcel, at: Time, slot: Slot) -> int | None:
         """The work item's id here, or None if it has got its answer at once."""
-        fault = self._unfit(parcel)
+        fault = self._unfit(parcel, at)
         if fault is not None:
             self.counters["requests unfit"] += 1
             slot.put(fault)
@@ -115,10 +122,12 @@
         self.queue.put((self._taken, (self.offered, parcel, at, slot)))
         return self.offered
 
-    def _unfit(self, parcel: Parcel) -> HTTPStatus | None:
+    def _unfit(self, parcel: Parcel, at: Time) -> HTTPStatus | None:
         """What no backend could use costs them nothing."""
         if parcel.category and self.categories and parcel.category not in self.categories:
             return HTTPStatus.BAD_REQUEST
+        if self.retired.get(parcel.category, at) < at:
+            return HTTPStatus.BAD_REQUEST
         # For a backend it would be the same one, begun twice at once; and no deferral, as that one may run.
         return HTTPStatus.CONFLICT if parcel.name in self.names else None
 
@@ -154,6 +163,12 @@
     def uncordon(self, backend: str) -> bool:
         return self.bid(self._uncordon, backend)
 
+    def retune(
+        self, settings: Mapping, customers: dict[str, int], waits: dict[str, Time], most: int
+    ) -> None:
+        """Other settings, in one step between two work items."""
+        self.bid(self._retune, settings, customers, waits, most)
+
     # The greenlet.
 
     def start(self, known: News | None) -> None:
@@ -264,6 +279,21 @@
         self._reach(backend)
         return known
 
+    def _retune(
+        self, settings: Mapping, customers: dict[str, int], waits: dict[str, Time], most: int
+    ) -> None:
+        self._carry_out(self.balancer.retune(self._now(), settings))
+        facts = self.balancer.facts
+        names = [category.name for category in facts.categories]
+        self.categories = {name: n for n, name in enumerate(names)}
+        # Clients hear of a change later than this agent: what they still name is served as they know it.
+        until = self.clock.now() + BEHIND
+        self.retired = {name: self.retired.get(name, until) for name in names[facts.named :]}
+        self.customers = _by_name_or_number(customers)
+        known = self.waits | waits
+        self.waits = {name: known[name] for name in names if name in known}
+        self.most = most
+
     def _reach(self, backend: str) -> None:
         """Connections to what the list calls running, unless an operator has taken it out; without them
         nothing new goes there, and what is decided but not yet written comes back as never sent."""
--- a/src/nettledeal/records.py
+++ b/src/nettledeal/records.py
@@ -18,6 +18,7 @@
     effect: Effect
     group: Group
     window: Time
+    name: str = ""
     usual: Time = 0  # learned: how long a first try may wait
     base: float = 0.0  # learned: time an answer takes with nothing ahead of it
     seen: int = 0
@@ -51,6 +52,7 @@
     customer: int
     work: float | None
     again: bool
+    most: int  # hand-offs, by the settings that it came under
     key: str | None = None
     sent: list[Sent] = field(default_factory=list)
     open: int = 0
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,204 @@
+"""Settings that change while work is open: file, module, owner."""
+
+import json
+from http import HTTPStatus
+
+import gevent
+import pytest
+from helpers import SECOND, Drive, answers, hand_offs, settings, until
+from test_owner import Desk
+from test_program import TOLD, changed
+
+from nettledeal.configuration import Fault, check, successor
+from nettledeal.model import Outcome, Verdict
+from nettledeal.net.protocol.backend import Reply
+from nettledeal.net.routing import owner as owner_module
+
+FORCE = json.loads(json.dumps(TOLD))
+FORCE["settings"]["allowed"]["most_hand_offs"] = 3
+FORCE["settings"]["categories"].append(
+    {"name": "c", "effect": "safe", "expiry": 500_000_000, "due_time": 200_000_000, "payoff": 2.0}
+)
+OLD = check(json.dumps(FORCE).encode(), {})
+
+
+def edited(path, value=None, drop=False):
+    told = json.loads(json.dumps(FORCE))
+    *way, last = path.split(".")
+    inner = told
+    for key in way:
+        inner = inner[int(key)] if key.isdigit() else inner[key]
+    last = int(last) if last.isdigit() else last
+    if drop:
+        del inner[last]
+    else:
+        inner[last] = value
+    return json.dumps(told).encode()
+
+
+HUGE = 10**18
+FAULTY = [
+    (b"", "the file"),
+    (b"{", "the file"),
+    (json.dumps(FORCE).encode()[:200], "the file"),
+    (b"[]", "the file"),
+    (b"null", "the file"),
+    (b"7", "the file"),
+    (b"{}", "listen"),
+    (edited("settings", 5), "settings"),
+    (edited("settings", drop=True), "settings"),
+    (edited("listen", drop=True), "listen"),
+    (edited("limits.sockets", drop=True), "limits.sockets"),
+    (edited("settings.categories", drop=True), "settings.categories"),
+    (edited("settings.categories", {}), "settings.categories"),
+    (edited("settings.allowed", drop=True), "settings.allowed"),
+    (edited("settings.allowed.may_duplicate", drop=True), "settings.allowed.may_duplicate"),
+    (edited("settings.categories.1.effect", drop=True), "settings.categories.1.effect"),
+    (edited("settings.categories.0.expiry", drop=True), "settings.categories.0.expiry"),
+    # A new one has at least what all others have.
+    (edited("settings.categories.0", {"name": "new", "effect": "safe"}), "settings.categories.0.expiry"),
+    *[
+        (edited(f"settings.{key}", value), f"settings.{key}")
+        for key in ("categories.0.expiry", "categories.1.due_time", "allowed.most_hand_offs")
+        for value in (0, -1, True, "9", 1.5, [], HUGE)
+    ],
+    (edited("settings.categories.0.expiry").replace(b"null", b"NaN"), "the file"),
+    (edited("settings.categories.0.effect", 3), "settings.categories.0.effect"),
+]
+
+
+@pytest.mark.parametrize(("raw", "key"), FAULTY)
+def test_a_faulty_file_is_refused_by_its_key(raw, key):
+    environment = {"EDGE_DISCOVERY": "127.0.0.1:2"}
+    with pytest.raises(Fault, match=rf"^{key}\b") as fault:
+        successor(OLD, check(raw, environment))
+    assert "\n" not in str(fault.value)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        edited("settings.categories.0.effect", "safe"),
+        edited("settings.categories.0", drop=True),
+        edited("settings.categories.0.name", "renamed"),
+        edited("settings.allowed.most_hand_offs", 1),
+        edited("settings.more", {"a": 1}),
+        edited("known", {"generation": 1, "reset": True, "instances": []}),
+    ],
+)
+def test_a_good_file_is_taken(raw):
+    successor(OLD, check(raw, {}))
+
+
+def test_the_same_file_with_other_numbers_takes_its_own_place():
+    old = check(changed("settings.categories.0.expiry", 1_000_000), {})
+    successor(old, check(changed("settings.categories.0.expiry", 2_000_000), {}))
+
+
+def named(*categories, **changes):
+    told = {key: value for key, value in settings(**changes).items() if not key.startswith("categories.")}
+    told["categories.count"] = len(categories)
+    for n, (name, effect) in enumerate(categories):
+        told |= {f"categories.{n}.name": name, f"categories.{n}.effect": effect,
+                 f"categories.{n}.due_time": 10_000, f"categories.{n}.expiry": 20_000}
+    return told
+
+
+BOTH = named(("read", "rerunnable"), ("write", "exclusive"))
+
+
+def drive():
+    found = Drive()
+    found.balancer.retune(found.now, BOTH)
+    return found
+
+
+def names(drive):
+    """Without those that the drive began with."""
+    return [c.name for c in drive.balancer.facts.categories if not c.name.isdigit()]
+
+
+def index(drive, name):
+    return [category.name for category in drive.balancer.facts.categories].index(name)
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "again"),
+    [
+        # What is open keeps the effect that it came with; what comes next goes by the new one.
+        ("exclusive", "rerunnable", False),
+        ("rerunnable", "exclusive", True),
+    ],
+)
+def test_effects_that_change(before, after, again):
+    at = drive()
+    at.balancer.retune(at.now, named(("x", before)))
+    old = hand_offs(at.take(0))[0]
+    at.balancer.retune(at.now, named(("new", "rerunnable"), ("x", after)))
+    assert bool(hand_offs(at.back(old, Outcome.RESET))) is again
+    fresh = hand_offs(at.take(index(at, "x")))[0]
+    assert bool(hand_offs(at.back(fresh, Outcome.RESET))) is not again
+
+
+def test_attempts_that_change():
+    at = drive()
+    old = hand_offs(at.take(0))[0]
+    at.balancer.retune(at.now, {**BOTH, "allowed.most_hand_offs": 1})
+    assert hand_offs(at.back(old, Outcome.RESET))
+    fresh = hand_offs(at.take(0))[0]
+    assert not hand_offs(at.back(fresh, Outcome.RESET))
+
+
+def test_what_was_learned_goes_by_name_not_by_place():
+    at = drive()
+    for _ in range(30):
+        at.back(hand_offs(at.take(1))[0], after=333)
+    was = at.balancer.facts.categories[1]
+    assert was.seen == 30
+    at.balancer.retune(at.now, named(("other", "exclusive"), ("write", "exclusive"), ("read", "rerunnable")))
+    at.balancer.retune(at.now, named(("write", "exclusive"), ("other", "exclusive")))
+    now = at.balancer.facts.categories[0]
+    assert (now.base, now.seen) == (was.base, 30) and now is not was
+    assert names(at) == ["write", "other", "read"]
+    # Added again it is itself, and it is there once.
+    at.balancer.retune(at.now, BOTH)
+    assert names(at) == ["read", "write", "other"]
+
+
+def test_a_category_dropped_with_work_open_is_answered_by_its_own_rules():
+    at = drive()
+    out = hand_offs(at.take(1))[0]
+    at.balancer.retune(at.now, named(("read", "rerunnable")))
+    assert [a.verdict for a in answers(at.back(out, Outcome.RESET))] == [Verdict.WRITTEN_OFF]
+    # Those that still name it go by them, too.
+    out = hand_offs(at.take(index(at, "write")))[0]
+    assert [a.verdict for a in answers(at.back(out, Outcome.RESET))] == [Verdict.WRITTEN_OFF]
+
+
+def test_dropped_names_do_not_pile_up():
+    at = drive()
+    for n in range(100):
+        at.balancer.retune(at.now, named((f"c{n}", "rerunnable")))
+    assert len(at.balancer.facts.categories) <= 17
+
+
+def test_the_owner_takes_new_names_at_once_and_old_ones_for_a_while(monkeypatch):
+    monkeypatch.setattr(owner_module, "BEHIND", SECOND // 50)
+    desk = Desk()
+    desk.owner.retune(BOTH, {}, {"read": 100, "write": 200}, 100)
+    desk.owner.retune(named(("add", "rerunnable"), ("read", "exclusive")), {}, {"add": 300, "read": 100}, 50)
+    assert desk.owner.most == 50
+    slot, _ = desk.take("add")
+    desk.out().done(Reply(Outcome.FINISHED, report={}))
+    assert desk.answered(slot) is HTTPStatus.OK
+    slot, id = desk.take("write")
+    assert id and slot.status is None
+    gevent.sleep(0.03)
+    slot, id = desk.take("write")
+    assert (slot.status, id) == (HTTPStatus.BAD_REQUEST, None)
+    assert desk.take("read")[1]
+    # Its first word counts, however often the settings change meanwhile.
+    desk.owner.retune(named(("add", "rerunnable")), {}, {"add": 300}, 50)
+    assert desk.take("write")[0].status is HTTPStatus.BAD_REQUEST
+    desk.owner.retune(BOTH, {}, {"read": 100, "write": 200}, 100)
+    assert desk.take("write")[1] and until(lambda: not desk.owner.waiting)
