--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -12,17 +12,23 @@
 import gc
 import os
 import sys
+import time
 from contextlib import suppress
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 
 import gevent
+import msgspec
 import structlog
 from gevent.event import Event
+from gevent.lock import Semaphore
 
 from nettledeal import configuration
 from nettledeal.configuration import Fault, Told
 from nettledeal.decide import Balancer
+from nettledeal.handover import LEAVING, SERVING, Handover, read
+from nettledeal.inheritance import bequeath, inherit
 from nettledeal.net.address import written
 from nettledeal.net.clock import SECOND, Clock
 from nettledeal.net.counters import Counters
@@ -33,6 +39,7 @@
 from nettledeal.net.transport.door import Door
 from nettledeal.net.transport.listener import Listener
 from nettledeal.net.transport.pools import Pools
+from nettledeal.net.transport.shelf import Shelf
 from nettledeal.net.transport.watch import Lookout
 
 log = structlog.get_logger()
@@ -41,6 +48,11 @@
 # Each tenth more is one in which nobody serves.
 LINGER = 0.45
 LAST_CALL = 0.1
+# How often other processes of this agent are looked for, and how long one may take to confirm an order.
+MEETS = 0.1
+CONFIRMED = 0.7
+# Connections that rest are ended so long before the end, once a successor serves.
+RESTING = 0.4
 # A forerunner that is just ending may still hold the address.
 BIND_WITHIN = 2.0
 # What was built by it at the start, or is bound to the module's memory; seed and known list are for a start.
@@ -68,7 +80,14 @@
         self.told = told
         self.clock = Clock()
         self.counters = Counters()
-        within = shares(told.sockets, told.memory_mb, told.admin is not None)
+        # Other processes of this agent: a version that goes, or one that comes.
+        self.shelf = self._shelf()
+        self.handover = Handover(
+            self.shelf.id if self.shelf else "", told.name, written(told.listen), time.monotonic_ns()
+        )
+        self.minding = Semaphore()
+        self.inherited = self.shown = None
+        self.within = within = self._within(1)
         connect_within = told.setting("allowed.connect_timeout")
         self.pools = Pools(
             self.clock, self.counters, within.backends, within.answers, told.longest, connect_within,
@@ -99,6 +118,20 @@
         self.stopping = Event()
         self.called = Event()  # to reload
 
+    def _within(self, processes: int) -> Shares:
+        told = self.told
+        return shares(told.sockets // processes, told.memory_mb // processes, told.admin is not None)
+
+    def _shelf(self) -> Shelf | None:
+        folder = os.environ.get("TMPDIR")
+        if not folder:
+            return None
+        try:
+            return Shelf(Path(folder), os.urandom(8).hex())
+        except OSError as fault:
+            log.warning("no folder to meet a successor in", why=str(fault))
+            return None
+
     def _listener(self, within: Shares) -> Listener:
         for _ in range(int(BIND_WITHIN / 0.1) + 1):
             try:
@@ -132,10 +165,61 @@
                     raise Refused("the agent is ending")
                 self.listener.resume()
                 return "serving"
-        call = self.owner.cordon if order.word == "cordon" else self.owner.uncordon
+        out = order.word == "cordon"
+        call = self.owner.cordon if out else self.owner.uncordon
         if not call(order.backend):
             raise Refused("no such backend")
-        return order.backend
+        at = self.handover.ordered(order.backend, out, self.clock.now())
+        self._meet()
+        # It is in force once it is in all processes that are this agent.
+        for _ in range(int(CONFIRMED / 0.02)):
+            if self.handover.confirmed(at):
+                return order.backend
+            gevent.sleep(0.02)
+            self._meet()
+        raise Refused("in force in this process, not confirmed by the other one yet")
+
+    def _meet(self) -> None:
+        """Looks for other processes of this agent, does what they were told, and shows what it does."""
+        if self.shelf is None:
+            return
+        with self.minding:
+            handover, before = self.handover, self.handover.processes
+            for backend, out in handover.told(self.shelf.look(read)).items():
+                self.owner.heard(backend, out)
+                log.info("order heard of", backend=backend, out=out)
+            handover.carried_out()
+            processes, balancer = handover.processes, self.owner.balancer
+            if processes != before:
+                log.info("processes of this agent", processes=processes)
+                self.within.become(self._within(processes))
+                self.pools.trim()
+                self.owner.bid(balancer.share, processes)
+                handover.me.learned = None
+                if processes > 1 and handover.me.state == SERVING:
+                    handover.me.learned = self.owner.bid(bequeath, balancer, self.clock.now())
+            legacy = handover.legacy
+            if legacy is not None and self.inherited is None:
+                self.inherited = self.owner.bid(inherit, balancer, self.clock.now(), legacy, processes)
+                log.info("what was learned is taken over", read=self.inherited)
+            self._show()
+
+    def _show(self) -> None:
+        record = msgspec.json.encode(self.handover.me)
+        if record != self.shown:
+            self.shelf.write(record)
+            self.shown = record
+
+    def _mind(self) -> None:
+        while True:
+            gevent.sleep(MEETS)
+            try:
+                if self.shelf.stirs:
+                    self._meet()
+            except OSError as fault:
+                self.counters[f"hand-over: {fault.strerror}"] += 1
+            except Exception:
+                self.counters.fault("hand-over")
 
     def _subscribe(self) -> None:
         self.lookout.start()
@@ -153,9 +237,15 @@
         self.owner.start(self.known)
         self.known = None
         gevent.spawn(self.owner.run)
+        # What another process was told to leave out is left out from the first work item on.
+        self._meet()
         if self.told.setting("discovery") == "pushed":
             self.lookout.start()
         gevent.spawn(self.listener.run)
+        self.handover.me.state = SERVING
+        if self.shelf is not None:
+            self._show()
+            gevent.spawn(self._mind)
         if self.door is not None:
             gevent.spawn(self.door.run)
         gevent.spawn(self._tell)
@@ -175,14 +265,20 @@
 
     def _stop(self) -> None:
         """Clients come for a while yet, and what has been taken is answered before the end."""
-        log.info("stopping", open=len(self.owner.held))
+        self._meet()
+        heir = self.handover.heir
+        log.info("stopping", open=len(self.owner.held), heir=heir)
+        self.handover.me.state = LEAVING
         end = self.clock.now() + int(max(self.owner.waits.values(), default=SECOND) + LINGER * SECOND)
-        # Connections that rest end now: their clients come anew while the listener still stands.
-        self.listener.draining = True
-        self.listener.close_idle()
-        gevent.sleep(LINGER)
-        self.listener.close_idle()
-        gevent.sleep(LAST_CALL)
+        if heir:
+            self._give_way(end)
+        else:
+            # Connections that rest end now: their clients come anew while the listener still stands.
+            self.listener.draining = True
+            self.listener.close_idle()
+            gevent.sleep(LINGER)
+            self.listener.close_idle()
+            gevent.sleep(LAST_CALL)
         while self.owner.busy or self.listener.busy and self.clock.now() < end:
             if self.owner.busy:
                 # A client may wait longer than its category does; its answer has yet to be written, too.
@@ -191,8 +287,18 @@
         self.listener.close()
         if self.door is not None:
             self.door.close()
+        if self.shelf is not None:
+            self.shelf.clear()
         log.info("stopped", **self.counters)
 
+    def _give_way(self, end: int) -> None:
+        """To a successor that serves: connections end with their next answer, and those that rest late, as
+        each that is ended just when its client asks costs a request its way."""
+        self.listener.give_way(self.handover.processes - 1)
+        while self.listener.guests and self.clock.now() < end - RESTING * SECOND:
+            gevent.sleep(0.02)
+        self.listener.close_idle()
+
     def _reloads(self) -> None:
         """Orders that come while one is followed add up to one more: the file is read as it then is."""
         while True:
--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -110,6 +110,7 @@
         self.out: dict[BackendId, Time] = {}  # of service by an operator's call, since when
         self.owed: dict[BackendId, Time] = {}  # back in service, and when each is tried next
         self.recent: deque[Backend] = deque(maxlen=SAMPLE // 2)  # heard from last
+        self.processes = 1  # that are one agent for a while
         self.categories: list[Category] = []
         # A category out of range has unknown rights: it gets the strictest ones.
         self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
@@ -121,7 +122,7 @@
         self.settings = settings
         self.warm_keys = bool(self.get("family_info.warm_keys", False))
         self.sized = self.get("weights", "silent") in ("nominal", "rough")
-        self.agents = max(1, int(self.get("balancers", 1)))
+        self.agents = self.processes * max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
         self.may_recall = bool(self.get("allowed.cancelling", False))
@@ -887,7 +888,7 @@
         if key is not None and self.facts.warm_keys:
             self.keys.taken(key)
         self.copies = min(5.0, self.copies + 0.03)
-        self.memory.probes = min(10.0, self.memory.probes + self.memory.probe_gain)
+        self.memory.probes = min(10.0, self.memory.probes + self.memory.probe_gain / self.facts.processes)
         self._route(wi, now)
         return self._step(now)
 
@@ -945,13 +946,20 @@
             stage.tune()
         return self._step(now)
 
-    def cordon(self, now: Time, id: BackendId) -> bool:
-        """Out of service until `uncordon`, whatever the list says; whether there is such a backend."""
+    def share(self, processes: int) -> None:
+        """So many are one agent for a while, and each has its part of what one may do."""
+        self.facts.processes = processes
+        self.facts.tune(self.facts.settings)
+
+    def cordon(self, now: Time, id: BackendId, heard: bool = False) -> bool:
+        """Out of service until `uncordon`, whatever the list says; whether there is such a backend, as there
+        is for another process that has been told so."""
         facts, b = self.facts, self.facts.backends.get(id)
-        if b is not None and b.listing.life is not Life.GONE:
+        if heard or b is not None and b.listing.life is not Life.GONE:
             facts.out.setdefault(id, now)
             facts.owed.pop(id, None)
-            b.out = True
+            if b is not None:
+                b.out = True
             facts.regroup()
         return id in facts.out
 
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -163,6 +163,10 @@
     def uncordon(self, backend: str) -> bool:
         return self.bid(self._uncordon, backend)
 
+    def heard(self, backend: str, out: bool) -> None:
+        """An order given to another process of this agent."""
+        self.bid(*((self._cordon, backend, True) if out else (self._uncordon, backend)))
+
     def retune(
         self, settings: Mapping, customers: dict[str, int], waits: dict[str, Time], most: int
     ) -> None:
@@ -269,8 +273,8 @@
             except Exception as fault:
                 result.set_exception(fault)
 
-    def _cordon(self, backend: str) -> bool:
-        known = self.balancer.cordon(self._now(), backend)
+    def _cordon(self, backend: str, heard: bool = False) -> bool:
+        known = self.balancer.cordon(self._now(), backend, heard)
         self._reach(backend)
         return known
 
--- a/src/nettledeal/net/transport/budget.py
+++ b/src/nettledeal/net/transport/budget.py
@@ -46,6 +46,12 @@
     requests: Stock
     answers: Stock
 
+    def become(self, other: Shares) -> None:
+        """As large as the other ones from here on; what is held beyond that is given back by and by."""
+        for mine, its in ((self.clients, other.clients), (self.backends, other.backends),
+                          (self.requests, other.requests), (self.answers, other.answers)):
+            mine.most = its.most
+
 
 def shares(sockets: int, memory_mb: int, door: bool = False) -> Shares:
     """For clients and for backends. A work item takes one connection of each; backends get a little more,
--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -22,7 +22,7 @@
 from nettledeal.net.transport.budget import OVERFLOW, Budget
 from nettledeal.net.transport.buffers import Full, Inbox, Stock
 from nettledeal.net.transport.relay import GRACE, PACE, SLOWEST, Upload
-from nettledeal.net.transport.sockets import bound, peek, send_all, smooth, wait_for
+from nettledeal.net.transport.sockets import bound, peek, send_all, smooth, steer, wait_for
 
 # A head comes whole within this time, or its client is told and the place is free again: from the accept, or
 # from its first byte on a connection used before. From the last byte, a trickle would hold the place. A body
@@ -47,6 +47,8 @@
 # And from then on those that have said nothing for so long: they came all the same.
 EMPTIED = SECOND // 5
 
+# Until handshakes have settled that were under way when new connections were steered away, in seconds.
+SETTLES = 0.05
 # The longest that an answer may be on its way whatever its expiry is: that of an upload lies far off.
 LONGEST = 60 * SECOND
 
@@ -365,12 +367,15 @@
                 self._make_room()
                 gevent.sleep(0.01)
                 continue
-            guest = Guest(self, sock, welcome=not self.budget.full or self._make_room())
-            if self.budget.held >= ROOMY * self.budget.most:
-                self._end_longest()
-            self.budget.take()
-            self.guests[guest] = None
-            gevent.spawn(guest.run)
+            self._welcome(sock)
+
+    def _welcome(self, sock: socket.socket) -> None:
+        guest = Guest(self, sock, welcome=not self.budget.full or self._make_room())
+        if self.budget.held >= ROOMY * self.budget.most:
+            self._end_longest()
+        self.budget.take()
+        self.guests[guest] = None
+        gevent.spawn(guest.run)
 
     def ended(self, guest: Guest) -> None:
         del self.guests[guest]
@@ -441,5 +446,21 @@
                 return
             self.close_idle(EMPTIED)
 
+    def give_way(self, heirs: int) -> None:
+        """A successor listens at this address: new connections go there, and what waits here is taken to the
+        last one, since closing resets it."""
+        self.draining = True
+        if not steer(self.sock, heirs):
+            self.counters["connections could not be steered"] += 1
+        gevent.sleep(SETTLES)
+        while True:
+            try:
+                # As `accept` does, but for the wait.
+                number, _ = self.sock._sock._accept()
+            except OSError:
+                break
+            self._welcome(socket.socket(self.sock.family, self.sock.type, self.sock.proto, fileno=number))
+        self.close()
+
     def close(self) -> None:
         self.sock.close()
--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -369,6 +369,12 @@
         pool = self.pools.get(backend)
         return pool is not None and pool.carry(errand)
 
+    def trim(self) -> None:
+        """What rests beyond the budget ends: it has become smaller."""
+        for line in list(self.resting)[: max(0, self.budget.held - self.budget.most)]:
+            line.pool.wake(line)
+            line.break_off()
+
     def room(self) -> bool:
         """Whether one more may be opened; the one that has rested longest makes room."""
         if self.budget.full and self.resting:
--- a/src/nettledeal/net/transport/sockets.py
+++ b/src/nettledeal/net/transport/sockets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import struct
+from array import array
 from collections.abc import Sequence
 
 from gevent import get_hub, socket
@@ -13,6 +15,10 @@
 MOST_PARTS = 32
 
 
+# SO_ATTACH_REUSEPORT_CBPF, which the library has no name for.
+_STEER = 51
+
+
 def opened(address: Address) -> socket.socket:
     return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
 
@@ -32,6 +38,19 @@
     return sock
 
 
+def steer(sock: socket.socket, number: int) -> bool:
+    """New connections to the port go to that one of those that listen there, in the order in which they
+    began; whether the kernel takes that. Of a number that is none any more, it shares them out as before."""
+    # One instruction: return the number.
+    program = array("B", struct.pack("HBBI", 0x06, 0, 0, number))
+    place, _ = program.buffer_info()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, _STEER, struct.pack("HP", 1, place))
+    except OSError:
+        return False
+    return True
+
+
 def smooth(sock: socket.socket) -> None:
     # Messages go out whole: waiting for more to send would only delay their last part.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
