--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,258 @@
+"""Processes of one agent: what they are to each other, where they meet, what one leaves to the next."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from helpers import SECOND, Drive, hand_offs
+
+from nettledeal.handover import LEAVING, SERVING, STARTING, VERSION, Handover, read
+from nettledeal.inheritance import bequeath, inherit
+from nettledeal.model import Listing, Outcome
+from nettledeal.net.transport.shelf import Shelf
+
+
+def process(id, born, state=SERVING, agent="n1", listen="127.0.0.1:1"):
+    found = Handover(id, agent, listen, born)
+    found.me.state = state
+    return found
+
+
+def shown(*processes):
+    return [read(msgspec.json.encode(one.me)) for one in processes]
+
+
+@pytest.mark.parametrize(
+    ("state", "born", "heir", "processes"),
+    [
+        (STARTING, 2, False, 2),  # it has not said yes: the old one serves on, with half of the limits
+        (SERVING, 2, True, 2),
+        (LEAVING, 2, False, 2),
+        (SERVING, 0, False, 2),  # the older one is nobody's heir
+    ],
+)
+def test_who_succeeds_whom(state, born, heir, processes):
+    me = process("a", 1)
+    me.told(shown(process("b", born, state)))
+    assert (me.heir, me.processes) == (heir, processes)
+    me.told([])  # crashed, before its yes or after
+    assert (me.heir, me.processes) == (False, 1)
+
+
+@pytest.mark.parametrize("other", [process("b", 2, agent="n2"), process("b", 2, listen="127.0.0.1:2")])
+def test_records_of_another_agent_or_address_count_for_nothing(other):
+    me = process("a", 1)
+    other.ordered("s1", True, 5)
+    assert me.told(shown(other)) == {}
+    assert (me.heir, me.processes) == (False, 1)
+
+
+def test_one_that_comes_twice_is_counted_and_the_youngest_is_the_heir():
+    first, second, third = process("a", 1), process("b", 2), process("c", 3)
+    first.told(shown(second, third))
+    third.told(shown(first, second))
+    assert (first.processes, first.heir, third.heir) == (3, True, False)
+
+
+def test_an_order_given_to_either_binds_both_and_is_confirmed():
+    old, new = process("a", 1), process("b", 2)
+    for here, there in ((old, new), (new, old)):
+        here.told(shown(there))
+        at = here.ordered("s1", here is old, 100)
+        assert not here.confirmed(at)
+        assert there.told(shown(here)) == {"s1": here is old}
+        here.told(shown(there))
+        assert not here.confirmed(at), "heard of is not yet in force"
+        there.carried_out()
+        here.told(shown(there))
+        assert here.confirmed(at)
+        assert there.told(shown(here)) == {}, "once"
+    here.told([])
+    assert here.confirmed(10**9), "nobody is left to ask"
+
+
+def test_the_later_order_holds_whatever_the_clocks_say():
+    old, new = process("a", 1), process("b", 2)
+    old.ordered("s1", True, 1000)
+    assert new.told(shown(old)) == {"s1": True}
+    new.ordered("s1", False, 3)  # its clock is behind
+    assert old.told(shown(new)) == {"s1": False}
+    assert new.told(shown(old)) == {}
+
+
+def test_a_successor_of_the_successor_knows_what_the_first_was_told():
+    first, second, third = process("a", 1), process("b", 2), process("c", 3)
+    first.ordered("s1", True, 1)
+    second.told(shown(first))
+    second.carried_out()
+    assert third.told(shown(second)) == {"s1": True}
+
+
+def test_orders_that_ask_for_nothing_do_not_pile_up():
+    me = process("a", 1)
+    me.ordered("kept", True, 1)
+    for n in range(500):
+        me.ordered(f"s{n}", False, n)
+    assert len(me.me.orders) < 100 and me.me.orders["kept"][1]
+
+
+WHOLE = msgspec.json.encode(process("a", 1).me)
+
+
+@pytest.mark.parametrize("end", range(0, len(WHOLE) - 1, 7))
+def test_a_torn_record_is_none(end):
+    assert read(WHOLE[:end]) is None
+
+
+@pytest.mark.parametrize(
+    "raw", [b"", b"null", b"[]", b"{}", b"\xff\xfe", WHOLE.replace(b'"a"', b"7"), bytes(99)]
+)
+def test_what_is_no_record_is_none(raw):
+    assert read(raw) is None
+
+
+def test_a_newer_record_says_who_and_what_state_it_is_and_no_more():
+    told = msgspec.json.decode(WHOLE) | {"version": VERSION + 1, "orders": "otherwise", "heard": 3}
+    me = process("z", 0)
+    assert me.told([read(msgspec.json.encode(told))]) == {}
+    assert me.heir and me.confirmed(5)
+
+
+# The folder.
+
+
+def write(shelf, one):
+    shelf.write(msgspec.json.encode(one.me))
+
+
+def test_processes_that_live_are_found_and_their_records_are_whole(tmp_path):
+    one, other = Shelf(tmp_path, "a"), Shelf(tmp_path, "b")
+    assert one.look(read) == [] and one.company, "it lives, and has said nothing yet"
+    write(other, process("b", 2))
+    assert [record.id for record in one.look(read)] == ["b"]
+    (tmp_path / "nettledeal-b.record").write_bytes(WHOLE[:30])
+    assert one.look(read) == []
+    other.clear()
+    assert one.look(read) == [] and not one.company
+
+
+def test_what_the_dead_have_left_goes(tmp_path):
+    one = Shelf(tmp_path, "a")
+    other = Shelf(tmp_path, "b")
+    write(other, process("b", 2))
+    os.close(other.lock)  # as the kernel does, however it died
+    (tmp_path / "foreign").write_text("x")
+    assert one.look(read) == []
+    assert sorted(place.name for place in tmp_path.iterdir()) == ["foreign", "nettledeal-a.lock"]
+
+
+def test_alone_there_is_nothing_to_look_at(tmp_path):
+    one = Shelf(tmp_path, "a")
+    one.look(read)
+    assert not one.stirs
+    Shelf(tmp_path, "b")
+    assert one.stirs
+
+
+def test_a_killed_process_does_not_live(tmp_path):
+    one = Shelf(tmp_path, "a")
+    code = (
+        "import sys, time; from pathlib import Path\n"
+        "from nettledeal.net.transport.shelf import Shelf\n"
+        "shelf = Shelf(Path(sys.argv[1]), 'b'); print('there', flush=True); time.sleep(60)"
+    )
+    other = subprocess.Popen(
+        [sys.executable, "-c", code, str(tmp_path)], stdout=subprocess.PIPE, text=True,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+    )
+    assert other.stdout.readline() == "there\n"
+    one.look(read)
+    assert one.company
+    other.send_signal(signal.SIGKILL)
+    other.wait()
+    one.look(read)
+    assert not one.company
+    other.stdout.close()
+
+
+# What is left to the next.
+
+
+def grown():
+    drive = Drive()
+    for n in range(200):
+        for ho in hand_offs(drive.take(n % 2)):
+            slow = ho.backend == "b1"
+            drive.back(ho, Outcome.ERROR if ho.backend == "b2" else Outcome.FINISHED, 900 if slow else 300)
+    return drive
+
+
+def test_what_was_learned_goes_on_with_its_age():
+    old = grown()
+    left = msgspec.json.decode(msgspec.json.encode(bequeath(old.balancer, old.now)))
+    new = Drive(now=old.now + SECOND)
+    assert inherit(new.balancer, new.now, left, 2)
+    for mine, its in zip(old.balancer.facts.categories, new.balancer.facts.categories, strict=True):
+        assert (its.base, its.seen, its.usual) == (mine.base, mine.seen, mine.usual)
+    assert new.balancer.admission.limit == old.balancer.admission.limit / 2
+    b, its = old.balancer.facts.backends["b2"], new.balancer.facts.backends["b2"]
+    assert its.distrust == b.distrust > 0 and its.distrust_at == b.distrust_at
+    assert new.balancer.soundness.distrust(its, new.now) < old.balancer.soundness.distrust(b, old.now)
+
+
+@pytest.mark.parametrize("listing", [Listing("b1", started=1), Listing("other")])
+def test_it_never_outlives_a_backends_id_or_start(listing):
+    old = grown()
+    left = bequeath(old.balancer, old.now)
+    new = Drive([listing], now=old.now)
+    assert inherit(new.balancer, new.now, left, 2)
+    b = new.balancer.facts.backends[listing.backend]
+    assert not b.pace and not b.distrust
+
+
+def test_one_put_back_meanwhile_keeps_nothing_of_before():
+    old = grown()
+    left = bequeath(old.balancer, old.now)
+    new = Drive(now=old.now)
+    new.balancer.cordon(new.now, "b2")
+    new.balancer.uncordon(new.now, "b2")
+    assert inherit(new.balancer, new.now, left, 2)
+    assert not new.balancer.facts.backends["b2"].distrust
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"limit": "x"}, {"limit": [1, 2]}, {"threshold": None}, {"threshold": 1e300},
+        {"kinds": {"x": [1, 2, 3]}}, {"backends": {"b0": [0, 1]}}, {"categories": {"0": ["a", 0, 0, 0]}}, {"belief": [1]}, {"backends": 5},
+    ],
+)
+def test_a_legacy_that_makes_no_sense_changes_nothing(change):
+    old, new = grown(), Drive()
+    before = bequeath(new.balancer, new.now)
+    assert not inherit(new.balancer, new.now, bequeath(old.balancer, old.now) | change, 2)
+    assert bequeath(new.balancer, new.now) == before
+
+
+def test_processes_share_what_a_cold_backend_bears():
+    def pushed(drives):
+        out = 0
+        for drive in drives:
+            for _ in range(60):
+                out += len(hand_offs(drive.take()))
+        return out
+
+    cold = [Listing("b0", started=100_000)]
+    alone = Drive(cold, seed=3)
+    two = [Drive(cold, seed=n) for n in (3, 4)]
+    for drive in two:
+        drive.balancer.share(2)
+    b = alone.balancer.facts.backends["b0"]
+    whole = alone.balancer.soundness.budget(b, alone.now)
+    assert sum(d.balancer.soundness.budget(b, d.now) for d in two) == pytest.approx(whole)
+    assert pushed(two) <= pushed([alone]) + 1
+    two[0].balancer.share(1)
+    assert two[0].balancer.soundness.budget(b, alone.now) == pytest.approx(whole)
