--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -227,7 +227,8 @@
     "change",
     [
         {"limit": "x"}, {"limit": [1, 2]}, {"threshold": None}, {"threshold": 1e300},
-        {"kinds": {"x": [1, 2, 3]}}, {"backends": {"b0": [0, 1]}}, {"categories": {"0": ["a", 0, 0, 0]}}, {"belief": [1]}, {"backends": 5},
+        {"kinds": {"x": [1, 2, 3]}}, {"backends": {"b0": [0, 1]}}, {"categories": {"0": ["a", 0, 0, 0]}},
+        {"belief": [1]}, {"backends": 5},
     ],
 )
 def test_a_legacy_that_makes_no_sense_changes_nothing(change):
