--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -419,3 +419,35 @@
             seen += client.sock.recv(4096)
         assert seen.startswith(OK) and seen.endswith(b"\r\n\r\n") and b"X-A: 1" in seen
         assert b"Content-Length: 900" in seen
+
+
+def test_hundreds_of_slow_peers_take_no_place_from_the_usual_ones(monkeypatch):
+    monkeypatch.setattr(relay_module, "STALLED", 0.3)
+    monkeypatch.setattr(relay_module, "STALLED_SHORT", 0.05)
+
+    def script(peer):
+        while heard := peer.hear():
+            long = b"ID: reader" in heard
+            peer.send(OK + b"Content-Length: 9000000\r\n\r\n" + bytes(9_000_000) if long else served(b"ok"))
+
+    agent = Agent(Far(script), Far(script), most=48, stock=8_000_000)
+    agent.pools.crowded = lambda: 2 * agent.listener.budget.held > agent.listener.budget.most
+    slow = []
+    for n in range(240):
+        client = agent.connect()
+        match n % 3:
+            case 0:  # sends half of a long body and no more
+                client.send(ask(LONG, id=b"writer%d" % n)[:70_000])
+            case 1:  # reads nothing of a long answer
+                client.send(ask(id=b"reader%d" % n))
+            case 2:  # half a head
+                client.send(b"POST /api HTTP/1.1\r\nX-Req")
+        slow.append(client)
+        if n % 12 == 0:
+            gevent.sleep(0.06)
+            usual = agent.connect()
+            assert until(lambda: usual.send(ask(b"hi", id=b"usual%d" % n)).hear().endswith(b"ok")), n
+            usual.sock.close()
+    assert agent.requests.held < 4_000_000 and agent.answers.held < 4_000_000
+    for client in slow:
+        client.sock.close()
