--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -401,7 +401,10 @@
         for waiting, least in groups:
             guest, since = next(iter(waiting.items()), (None, now))
             if guest is not None and now - since >= least:
+                # It goes at its greenlet's turn only; named again until then, it would be the one place that
+                # many newcomers are given.
                 guest.leave()
+                waiting.pop(guest, None)
                 return True
         return False
 
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,3 +1,4 @@
+import socket as plain
 from http import HTTPStatus
 
 import gevent
@@ -221,6 +222,22 @@
     assert peers[-1].send(asked(b"more")).hear().endswith(b"hi")
 
 
+@pytest.mark.parametrize("served", [True, False])
+def test_newcomers_that_come_together_end_one_each(served, monkeypatch):
+    monkeypatch.setattr(listener_module, "NEW", 0)
+    door = Door(most=10)
+    peers = [door.connect() for _ in range(6)]
+    for n, peer in enumerate(peers):
+        if served:
+            assert peer.send(asked(b"r%d" % n)).hear().endswith(b"hi")
+    assert until(lambda: len(door.listener.idle) + len(door.listener.strangers) == 6)
+    # All in the queue before the listener's turn: the first of those that rest had been told four times.
+    newcomers = [plain.create_connection(door.listener.sock.getsockname()) for _ in range(4)]
+    assert until(lambda: len(door.listener.guests) == 6)
+    gevent.sleep(0.01)
+    assert len(door.listener.guests) == 6 and len(newcomers) == 4
+
+
 def test_a_long_body_is_refused_by_its_head_alone():
     door = Door()
     client = door.connect().send(asked(body=b"").replace(b"X-Req", b"Content-Length: 60000000\r\nX-Req"))
