--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -201,7 +201,7 @@
                     handover.me.learned = self.owner.bid(bequeath, balancer, self.clock.now())
             legacy = handover.legacy
             if legacy is not None and self.inherited is None:
-                self.inherited = self.owner.bid(inherit, balancer, self.clock.now(), legacy, processes)
+                self.inherited = self.owner.bid(inherit, balancer, self.clock.now(), legacy)
                 log.info("what was learned is taken over", read=self.inherited)
             self._show()
 
--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -947,7 +947,9 @@
         return self._step(now)
 
     def share(self, processes: int) -> None:
-        """So many are one agent for a while, and each has its part of what one may do."""
+        """So many are one agent for a while, and each has its part of what one may do; whole again alone."""
+        part = self.facts.processes / processes
+        self.admission.limit, self.admission.safe = part * self.admission.limit, part * self.admission.safe
         self.facts.processes = processes
         self.facts.tune(self.facts.settings)
 
--- a/src/nettledeal/inheritance.py
+++ b/src/nettledeal/inheritance.py
@@ -35,10 +35,10 @@
     }
 
 
-def inherit(balancer: Balancer, now: Time, left: dict[str, Any], processes: int) -> bool:
+def inherit(balancer: Balancer, now: Time, left: dict[str, Any]) -> bool:
     """Whether it could be read; what can't changes nothing."""
     try:
-        taken = _taken(balancer, now, left, processes)
+        taken = _taken(balancer, now, left)
     except (KeyError, TypeError, ValueError, AttributeError):
         return False
     for change in taken:
@@ -46,7 +46,7 @@
     return True
 
 
-def _taken(balancer: Balancer, now: Time, left: dict[str, Any], processes: int) -> list:
+def _taken(balancer: Balancer, now: Time, left: dict[str, Any]) -> list:
     """The changes, all read before the first is made."""
     facts, memory, admission = balancer.facts, balancer.memory, balancer.admission
     changes = []
@@ -62,9 +62,8 @@
         # What has been learned here counts more.
         if figures is not None and not category.seen:
             to(category, *figures, usual=int, base=float, seen=int, work=float)
-    limit, *rest = left["limit"]
-    # What one process bore, several bear together.
-    to(admission, limit / processes, *rest, limit=float, safe=float, slowdown=float, was_cut=bool)
+    # Written down while both run, so it is a part already.
+    to(admission, *left["limit"], limit=float, safe=float, slowdown=float, was_cut=bool)
     to(balancer.zoning, left["threshold"], threshold=float)
     to(memory, *left["belief"], squares=float, products=float, own_squares=float, own_products=float,
        counted=float)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -192,12 +192,18 @@
 
 def test_what_was_learned_goes_on_with_its_age():
     old = grown()
+    whole = old.balancer.admission.limit
+    old.balancer.share(2)
     left = msgspec.json.decode(msgspec.json.encode(bequeath(old.balancer, old.now)))
     new = Drive(now=old.now + SECOND)
-    assert inherit(new.balancer, new.now, left, 2)
+    new.balancer.share(2)
+    assert inherit(new.balancer, new.now, left)
     for mine, its in zip(old.balancer.facts.categories, new.balancer.facts.categories, strict=True):
         assert (its.base, its.seen, its.usual) == (mine.base, mine.seen, mine.usual)
-    assert new.balancer.admission.limit == old.balancer.admission.limit / 2
+    # A part each, and the whole for the one that is left.
+    assert new.balancer.admission.limit == old.balancer.admission.limit == whole / 2
+    new.balancer.share(1)
+    assert new.balancer.admission.limit == whole
     b, its = old.balancer.facts.backends["b2"], new.balancer.facts.backends["b2"]
     assert its.distrust == b.distrust > 0 and its.distrust_at == b.distrust_at
     assert new.balancer.soundness.distrust(its, new.now) < old.balancer.soundness.distrust(b, old.now)
@@ -208,7 +214,7 @@
     old = grown()
     left = bequeath(old.balancer, old.now)
     new = Drive([listing], now=old.now)
-    assert inherit(new.balancer, new.now, left, 2)
+    assert inherit(new.balancer, new.now, left)
     b = new.balancer.facts.backends[listing.backend]
     assert not b.pace and not b.distrust
 
@@ -219,7 +225,7 @@
     new = Drive(now=old.now)
     new.balancer.cordon(new.now, "b2")
     new.balancer.uncordon(new.now, "b2")
-    assert inherit(new.balancer, new.now, left, 2)
+    assert inherit(new.balancer, new.now, left)
     assert not new.balancer.facts.backends["b2"].distrust
 
 
@@ -234,7 +240,7 @@
 def test_a_legacy_that_makes_no_sense_changes_nothing(change):
     old, new = grown(), Drive()
     before = bequeath(new.balancer, new.now)
-    assert not inherit(new.balancer, new.now, bequeath(old.balancer, old.now) | change, 2)
+    assert not inherit(new.balancer, new.now, bequeath(old.balancer, old.now) | change)
     assert bequeath(new.balancer, new.now) == before
 
 
