--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
 from nettledeal.net.protocol.catalogue import News
 from nettledeal.net.routing.owner import Owner
 from nettledeal.net.transport import listener as listener_module
+from nettledeal.net.transport import pools as pools_module
 from nettledeal.net.transport import relay as relay_module
 from nettledeal.net.transport.budget import Budget
 from nettledeal.net.transport.buffers import Stock
@@ -358,6 +359,24 @@
     assert until(lambda: agent.rests)
 
 
+def test_a_backend_that_stops_reading_has_not_run_it_and_holds_nobody_for_long(monkeypatch):
+    monkeypatch.setattr(pools_module, "STALLED", 0.05)
+    reached = []
+
+    def script(peer):
+        reached.append(peer.sock.recv(1000))
+        gevent.sleep(60)
+
+    agent = Agent(Far(script), Far(script))
+    client = agent.connect()
+    writer = gevent.spawn(client.send, ask(bytes(30_000_000)))
+    assert client.hear().startswith(b"HTTP/1.1 503 ")
+    assert len(reached) == 1
+    writer.kill()
+    client.sock.close()
+    assert until(lambda: agent.rests and not agent.pools.budget.held)
+
+
 def test_where_nothing_of_it_was_asked_for_yet_it_goes_elsewhere():
     dead = socket.socket()
     dead.bind(("127.0.0.1", 0))
