Read once more: one way for orders, agents derived, a failing folder costs no start or end

Need: read once more, the change held twins and a fix in one of four callers. - Balancer.share rebuilt all categories to change one number: agents is derived from fleet and processes now, and open work items go on teaching the category in force. - Balancer._owed asked soundness twice: _legal does. - Owner had five methods for two orders: cordon, uncordon and one _maintain. - A folder that fails was caught in the minder only; the start, an order and the end went through the same meeting without that. Agent._meet catches it for all; the second writer of the record is gone. - The options of a connection were read in two places (Message.connection); the door's callers were counted in two files (budget.CALLERS); tests had two free_place and a second address.written. Behaviour else as it was; tests keep their assertions.

--- a/src/nettledeal/__main__.py
+++ b/src/nettledeal/__main__.py
@@ -180,14 +180,22 @@
             self._meet()
         raise Refused("in force in this process, not confirmed by the other one yet")
 
-    def _meet(self) -> None:
-        """Looks for other processes of this agent, does what they were told, and shows what it does."""
-        if self.shelf is None:
-            return
+    def _meet(self, always: bool = True) -> None:
+        """Looks for other processes of this agent, does what they were told, and shows what it does. A folder
+        that fails costs the hand-over, not whoever came to look: the start, an order, the end."""
+        try:
+            if self.shelf is not None and (always or self.shelf.stirs):
+                self._exchange()
+        except OSError as fault:
+            self.counters[f"hand-over: {fault.strerror}"] += 1
+        except Exception:
+            self.counters.fault("hand-over")
+
+    def _exchange(self) -> None:
         with self.minding:
             handover, before = self.handover, self.handover.processes
             for backend, out in handover.told(self.shelf.look(read)).items():
-                self.owner.heard(backend, out)
+                self.owner.cordon(backend, heard=True) if out else self.owner.uncordon(backend)
                 log.info("order heard of", backend=backend, out=out)
             handover.carried_out()
             processes, balancer = handover.processes, self.owner.balancer
@@ -203,24 +211,15 @@
             if legacy is not None and self.inherited is None:
                 self.inherited = self.owner.bid(inherit, balancer, self.clock.now(), legacy)
                 log.info("what was learned is taken over", read=self.inherited)
-            self._show()
-
-    def _show(self) -> None:
-        record = msgspec.json.encode(self.handover.me)
-        if record != self.shown:
-            self.shelf.write(record)
-            self.shown = record
+            record = msgspec.json.encode(handover.me)
+            if record != self.shown:
+                self.shelf.write(record)
+                self.shown = record
 
     def _mind(self) -> None:
         while True:
             gevent.sleep(MEETS)
-            try:
-                if self.shelf.stirs:
-                    self._meet()
-            except OSError as fault:
-                self.counters[f"hand-over: {fault.strerror}"] += 1
-            except Exception:
-                self.counters.fault("hand-over")
+            self._meet(always=False)
 
     def _subscribe(self) -> None:
         self.lookout.start()
@@ -245,7 +244,7 @@
         gevent.spawn(self.listener.run)
         self.handover.me.state = SERVING
         if self.shelf is not None:
-            self._show()
+            self._meet()
             gevent.spawn(self._mind)
         if self.door is not None:
             gevent.spawn(self.door.run)
--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -122,14 +122,14 @@
         self.settings = settings
         self.warm_keys = bool(self.get("family_info.warm_keys", False))
         self.sized = self.get("weights", "silent") in ("nominal", "rough")
-        self.agents = self.processes * max(1, int(self.get("balancers", 1)))
+        self.fleet = max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
         self.may_recall = bool(self.get("allowed.cancelling", False))
         self.may_probe = bool(self.get("allowed.probes", False))
         self.by_work = self.get("payoff_by", "request") == "work"
         old = {category.name: category for category in self.categories}
-        found = [self._category(f"categories.{n}.") for n in range(self.get("categories.count", 0))]
+        found = [self._category(n) for n in range(self.get("categories.count", 0))]
         for category in found:
             # Anew, as what is open keeps the object that it came with; what was learned stays with the name.
             if was := old.pop(category.name, None):
@@ -138,6 +138,11 @@
         # Behind them those that are named no more, for clients a moment behind the change.
         self.categories, self.named = found + list(old.values())[:DROPPED], len(found)
 
+    @property
+    def agents(self) -> int:
+        """Those that cannot be seen, each of as many processes as this one."""
+        return self.processes * self.fleet
+
     def get(self, name: str, default):
         return self.settings.get(name, default)
 
@@ -187,7 +192,8 @@
             found += some
         return found
 
-    def _category(self, prefix: str) -> Category:
+    def _category(self, n: int) -> Category:
+        prefix = f"categories.{n}."
         return Category(
             due=self.get(prefix + "due_time", 0),
             expiry=self.get(prefix + "expiry", 0),
@@ -197,7 +203,7 @@
             effect=Effect(self.get(prefix + "effect", "exclusive")),
             group=Group(self.get(prefix + "group", "all")),
             window=self.get(prefix + "window", 0),
-            name=str(self.get(prefix + "name", prefix.split(".")[1])),
+            name=str(self.get(prefix + "name", n)),
         )
 
     def category(self, index: int) -> Category:
@@ -951,7 +957,6 @@
         part = self.facts.processes / processes
         self.admission.limit, self.admission.safe = part * self.admission.limit, part * self.admission.safe
         self.facts.processes = processes
-        self.facts.tune(self.facts.settings)
 
     def cordon(self, now: Time, id: BackendId, heard: bool = False) -> bool:
         """Out of service until `uncordon`, whatever the list says; whether there is such a backend, as there
@@ -1088,7 +1093,7 @@
         now and then goes there until one is answered."""
         for id, at in self.facts.owed.items() if not p.wi.sent else ():
             b = self.facts.backends.get(id)
-            if at <= p.now and b is not None and self.soundness.allows(p.wi, b, p.now):
+            if at <= p.now and b is not None:
                 p.pick, p.offload = b, b.listing.zone != self.facts.home
                 if self._legal(p):
                     self.facts.owed[id] = p.now + SECOND // 2
--- a/src/nettledeal/net/protocol/backend.py
+++ b/src/nettledeal/net/protocol/backend.py
@@ -89,8 +89,7 @@
         self.message = self._message(start)
 
     def _says_so(self) -> bool:
-        named = self.message.headers.get(b"connection", b"").lower().split(b",")
-        return self.message.dated or b"close" in [name.strip() for name in named]
+        return self.message.dated or b"close" in self.message.connection
 
     @property
     def whole(self) -> int | None:
--- a/src/nettledeal/net/protocol/framing.py
+++ b/src/nettledeal/net/protocol/framing.py
@@ -100,10 +100,14 @@
         """The bytes of the buffer that are still needed: what the reader has seen is not."""
         return self.head if self.reader is not None else None
 
+    @property
+    def connection(self) -> set[bytes]:
+        """What the head says of this connection: its options, and names of lines that concern it alone."""
+        return {name.strip().lower() for name in self.headers.get(b"connection", b"").split(b",")}
+
     def passed_on(self, *less: bytes) -> bytes:
         """The lines of the head that concern both ends, not this connection."""
-        named = {name.strip().lower() for name in self.headers.get(b"connection", b"").split(b",")}
-        named |= _OWN.union(less)
+        named = self.connection | _OWN.union(less)
         return b"".join(b"%b: %b\r\n" % field for field in self.fields if field[0].lower() not in named)
 
     def look(self, buffer: bytearray, filled: int) -> int | None:
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -157,15 +157,12 @@
             if order in self.orders:
                 self.orders.remove(order)
 
-    def cordon(self, backend: str) -> bool:
-        return self.bid(self._cordon, backend)
+    def cordon(self, backend: str, heard: bool = False) -> bool:
+        """Ordered here, or heard of from another process of this agent."""
+        return self.bid(self._maintain, self.balancer.cordon, backend, heard)
 
     def uncordon(self, backend: str) -> bool:
-        return self.bid(self._uncordon, backend)
-
-    def heard(self, backend: str, out: bool) -> None:
-        """An order given to another process of this agent."""
-        self.bid(*((self._cordon, backend, True) if out else (self._uncordon, backend)))
+        return self.bid(self._maintain, self.balancer.uncordon, backend)
 
     def retune(
         self, settings: Mapping, customers: dict[str, int], waits: dict[str, Time], most: int
@@ -273,13 +270,8 @@
             except Exception as fault:
                 result.set_exception(fault)
 
-    def _cordon(self, backend: str, heard: bool = False) -> bool:
-        known = self.balancer.cordon(self._now(), backend, heard)
-        self._reach(backend)
-        return known
-
-    def _uncordon(self, backend: str) -> bool:
-        known = self.balancer.uncordon(self._now(), backend)
+    def _maintain(self, call: Callable[..., bool], backend: str, *heard: bool) -> bool:
+        known = call(self._now(), backend, *heard)
         self._reach(backend)
         return known
 
--- a/src/nettledeal/net/transport/budget.py
+++ b/src/nettledeal/net/transport/budget.py
@@ -11,8 +11,9 @@
 # Besides them, descriptors that are no connection: standard ones, the loop's own, the listener, the list of
 # backends with its successor, files that a library opens now and then.
 _APART = OVERFLOW + 20
-# The operators' door with its callers, as its own bound allows them; one more is on its way in or out.
-DOOR = 14
+# Callers at the operators' door at once; with them go the door itself and one on its way in or out.
+CALLERS = 12
+_DOOR = CALLERS + 2
 
 
 class Budget:
@@ -58,7 +59,7 @@
     since one that rests saves the next one's handshake. Half of the memory that is left is for connections,
     half for messages on their way, so that neither silent nor talkative peers can use up the other's."""
     left = max(2048, (memory_mb - _FOOTPRINT_MB) * 1024) // 2
-    whole = min(sockets - _APART - (DOOR if door else 0), left // _CONNECTION_KB)
+    whole = min(sockets - _APART - (_DOOR if door else 0), left // _CONNECTION_KB)
     clients = max(4, int(0.45 * whole))
     half = left * 1024 // 2
     return Shares(Budget(clients), Budget(max(4, whole - clients)), Stock(half), Stock(half))
--- a/src/nettledeal/net/transport/door.py
+++ b/src/nettledeal/net/transport/door.py
@@ -12,10 +12,9 @@
 from nettledeal.net.counters import Counters
 from nettledeal.net.protocol import orders
 from nettledeal.net.protocol.orders import Order, Refused
+from nettledeal.net.transport.budget import CALLERS
 from nettledeal.net.transport.sockets import bound, send_all
 
-# Callers at once. One more ends the one that has been silent longest: who says nothing keeps nobody out.
-MOST = 12
 # A caller that finishes no line within this time is let go.
 WITHIN = 5.0
 MOST_READ = 16 * 1024
@@ -44,7 +43,8 @@
                 gevent.sleep(0.01)
                 continue
             self.held += 1
-            if self.held > MOST and self.silent:
+            if self.held > CALLERS and self.silent:
+                # Who says nothing keeps nobody out.
                 self.counters["silent callers at the door ended"] += 1
                 longest = next(iter(self.silent))
                 del self.silent[longest]
--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -198,9 +198,9 @@
     def _long(self, answer: Replying, probe: bool) -> Reply:
         """The hand-off ends with the first bytes of a long answer; nobody needs the rest of one that is not
         good."""
-        reply = answer.reply()
         if probe:
             return Reply(Outcome.ERROR)
+        reply = answer.reply()
         if reply.outcome is Outcome.FINISHED:
             message = answer.message
             pool = self.pool
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -142,6 +142,12 @@
     return head + b"X-Timeout-Ms: 4000\r\n" + more + length + b"\r\n" + body
 
 
+def free_place():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()
+
+
 def until(condition, seconds=5.0):
     """Lets other greenlets run until the condition holds; a test that would hang fails instead."""
     with gevent.Timeout(seconds):
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -95,9 +95,9 @@
 
 def test_silent_callers_keep_nobody_out_and_hold_no_more_than_their_places():
     desk = Desk()
-    silent = [desk.connect() for _ in range(3 * door_module.MOST)]
+    silent = [desk.connect() for _ in range(3 * door_module.CALLERS)]
     assert desk.call(b"health\n") == b"+OK\n"
-    assert until(lambda: desk.door.held <= door_module.MOST)
+    assert until(lambda: desk.door.held <= door_module.CALLERS)
     assert silent[0].hear(end=b"never") == b""
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,7 +8,7 @@
 import gevent
 import pytest
 from gevent.event import Event
-from helpers import Far, Peer, asked, replies, served, socket, until
+from helpers import Far, Peer, asked, free_place, replies, served, socket, until
 
 from nettledeal.configuration import Fault, address, check, read
 
@@ -93,12 +93,6 @@
     assert address("listen", "[::1]:80") == ("::1", 80)
 
 
-def free_place():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
 def start(tmp_path, raw):
     file = tmp_path / "config.json"
     file.write_bytes(raw)
--- a/tests/upgrades.py
+++ b/tests/upgrades.py
@@ -23,22 +23,14 @@
 
 import gevent
 from gevent import socket
-from helpers import Far, Peer, served
+from helpers import Far, Peer, free_place, served
+
+from nettledeal.net.address import written
 
 SRC = str(Path(__file__).parents[1] / "src")
 WORK = 0.01  # what a backend takes, in seconds
 
 
-def free_place():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
-def text(place):
-    return ":".join(map(str, place))
-
-
 class World:
     def __init__(self, folder: Path, backends: int = 3):
         self.folder = folder
@@ -47,15 +39,15 @@
         self.fars = [Far(self._backend) for _ in range(backends)]
         self.place = free_place()
         entries = [
-            {"instanceId": f"s{n}", "hostPort": text(far.address), "zone": "a"}
+            {"instanceId": f"s{n}", "hostPort": written(far.address), "zone": "a"}
             for n, far in enumerate(self.fars)
         ]
         whole = {"generation": 1, "reset": True, "instances": entries}
         self.list = Far(lambda peer: self._discovery(peer, json.dumps(whole).encode()))
         category = {"name": "b", "effect": "unsafe", "expiry": 1_000_000_000, "due_time": 400_000_000}
         self.told = {
-            "name": "n1", "listen": text(self.place), "discovery": text(self.list.address), "known": whole,
-            "seed": "1", "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 256},
+            "name": "n1", "listen": written(self.place), "discovery": written(self.list.address),
+            "known": whole, "seed": "1", "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 256},
             "settings": {
                 "zone": 0, "zones": ["a"], "allowed": {"most_hand_offs": 2}, "categories": [category]
             },
@@ -93,7 +85,7 @@
         door = free_place()
         process = subprocess.Popen(
             [sys.executable, "-O", "-m", "nettledeal"], stderr=subprocess.DEVNULL,
-            env={**os.environ, "PYTHONPATH": SRC, "EDGE_CONFIG": str(file), "EDGE_ADMIN_ADDR": text(door),
+            env={**os.environ, "PYTHONPATH": SRC, "EDGE_CONFIG": str(file), "EDGE_ADMIN_ADDR": written(door),
                  "TMPDIR": str(self.folder)},
         )
         return process, door
