--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -66,6 +66,8 @@
 PROBE_SPEND = 0.01
 # Backends looked at in one decision, at home and as many away: beyond a dozen, chance finds one as good.
 SAMPLE = 12
+# Backends at home that an agent keeps to where connections cost, and twice as many as away.
+PART = 6
 # Categories kept that the settings name no more.
 DROPPED = 16
 
@@ -99,12 +101,13 @@
     """What the stages share: the settings, the chance, the categories and the backends heard of."""
 
     def __init__(self, seed: int, settings: Mapping):
-        self.chance = Random(seed)
+        self.chance, self.seed = Random(seed), seed
         self.backends: dict[BackendId, Backend] = {}
         # Those that run, by where they stand; a decision looks at a sample of each, or its cost would
         # grow with the fleet.
         self.near: list[Backend] = []
         self.far: list[Backend] = []
+        self.parts: tuple[list[Backend], list[Backend]] = [], []  # of these, what is looked at first
         self.running = 0
         self.circle: list[tuple[int, Backend]] = []
         self.out: dict[BackendId, Time] = {}  # of service by an operator's call, since when
@@ -122,6 +125,9 @@
         self.settings = settings
         self.warm_keys = bool(self.get("family_info.warm_keys", False))
         self.sized = self.get("weights", "silent") in ("nominal", "rough")
+        # Where open connections cost, an agent keeps to a part of the fleet, by an order of its own.
+        self.kept = float(self.get("tariffs.connection", 0.0)) > 0.0
+        self.me = self.get("me", self.seed)
         self.fleet = max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
@@ -153,11 +159,16 @@
         if change > 0:
             self.sent_at = now
 
-    def regroup(self) -> None:
+    def regroup(self, now: Time) -> None:
         running = [b for b in self.backends.values() if b.runs]
         self.running = len(running)
+        if self.kept:
+            for b in running:
+                b.turn = b.turn or mark_of(f"{self.me} {b.id}")
+            running.sort(key=lambda b: b.turn)
         self.near = [b for b in running if b.listing.zone == self.home]
         self.far = [b for b in running if b.listing.zone != self.home]
+        self.parts = self._part(self.near, PART, now), self._part(self.far, PART // 2, now)
         if self.warm_keys:
             usual = sum(b.listing.size for b in self.near) / max(1, len(self.near))
             for b in self.near:
@@ -168,6 +179,12 @@
                 del b.marks[wanted:]
             self.circle = sorted(((mark, b) for b in self.near for mark in b.marks), key=lambda at: at[0])
 
+    def _part(self, group: list[Backend], width: int, now: Time) -> list[Backend]:
+        """The first few, whatever the others are; one more for each that is still cold."""
+        warm_within = self.get("rules.warm_within", 30 * SECOND)
+        cold = sum(b.started > 0 and now - b.started < warm_within for b in group[:width])
+        return group[: width + cold] if self.kept else group
+
     def heard(self, b: Backend) -> None:
         if b in self.recent:
             self.recent.remove(b)
@@ -176,19 +193,21 @@
     def sample(self, fits: Callable[[Backend], bool], favoured: list[Backend]) -> list[Backend]:
         """Some backends of home and of elsewhere: favoured, heard from last, and others by chance."""
         found = []
-        for group, home in ((self.near, True), (self.far, False)):
+        for group, part, home in ((self.near, self.parts[0], True), (self.far, self.parts[1], False)):
             some = [b for b in favoured if home and fits(b)]
-            for b in self.recent:
+            for b in self.recent if not self.kept else ():
                 here = (b.listing.zone == self.home) is home and self.backends.get(b.id) is b
                 if here and b.runs and b not in some and fits(b):
                     some.append(b)
             # Few may fit: a ticket bound to one cell, half a fleet drained. One wider look follows, no more.
             for width in (SAMPLE, 4 * SAMPLE):
-                if width == SAMPLE or len(some) < min(len(group), SAMPLE // 3):
+                if width == SAMPLE or len(some) < min(len(part), SAMPLE // 3):
                     few = len(group) <= SAMPLE
-                    drawn = group if few else self.chance.sample(group, min(len(group), width))
+                    drawn = part if width == SAMPLE and self.kept else group
+                    if not few and not self.kept:
+                        drawn = self.chance.sample(group, min(len(group), width))
                     some += [b for b in drawn if b not in some and fits(b)]
-            del some[SAMPLE:]
+            del some[len(part) if self.kept else SAMPLE :]
             found += some
         return found
 
@@ -850,7 +869,7 @@
         # Fleets are replaced for ever: what is gone and holds nothing of ours must not pile up.
         for id in [id for id, b in backends.items() if b.listing.life is Life.GONE and not b.own]:
             del backends[id]
-        self.facts.regroup()
+        self.facts.regroup(now)
 
 
 class Balancer:
@@ -967,7 +986,7 @@
             facts.owed.pop(id, None)
             if b is not None:
                 b.out = True
-            facts.regroup()
+            facts.regroup(now)
         return id in facts.out
 
     def uncordon(self, now: Time, id: BackendId) -> bool:
@@ -984,7 +1003,7 @@
             facts.backends[id] = fresh
             facts.owed[id] = now + SECOND
             self.soundness.judged.pop(id, None)
-            facts.regroup()
+            facts.regroup(now)
         return True
 
     def roster_failed(self, now: Time) -> Step:
--- /dev/null
+++ b/tests/test_part.py
@@ -0,0 +1,70 @@
+"""Where open connections cost, an agent keeps to a part of the fleet."""
+
+from collections import Counter
+
+import pytest
+from helpers import SECOND, Drive, fleet, hand_offs
+
+from nettledeal.decide import PART
+from nettledeal.model import Life, Listing, Outcome
+
+FLEET = fleet([0] * 30 + [1] * 30)
+
+
+def used(drive, count=80, **fields):
+    seen = Counter()
+    for _ in range(count):
+        for ho in hand_offs(drive.take(**fields)):
+            seen[ho.backend] += 1
+            drive.back(ho, after=500)
+    return seen
+
+
+def kept(**changes):
+    return Drive(FLEET, balancers=300, tariffs__connection=0.03, **changes)
+
+
+@pytest.mark.parametrize(("price", "most"), [(0.03, PART), (0.0, 30)])
+def test_a_part_is_kept_to_where_connections_cost(price, most):
+    seen = used(Drive(FLEET, balancers=300, tariffs__connection=price), 200)
+    assert len(seen) <= most
+    assert price or len(seen) > PART
+
+
+def test_the_parts_of_many_agents_cover_the_fleet_evenly():
+    held = Counter(b.id for me in range(200) for part in kept(me=me).balancer.facts.parts for b in part)
+    assert len(held) == 60
+    assert max(held.values()) < 2.5 * 200 * 1.5 * PART / 60
+
+
+def test_a_restarted_agent_keeps_to_the_same_part():
+    parts = [[b.id for b in kept(me=7, seed=seed).balancer.facts.parts[0]] for seed in (1, 2)]
+    assert parts[0] == parts[1]
+
+
+def test_the_part_changes_by_no_more_than_what_left_it():
+    drive = kept(me=3)
+    before = {b.id for b in drive.balancer.facts.parts[0]}
+    gone = next(iter(before))
+    drive.balancer.roster(drive.now, [Listing(gone, life=Life.DRAINING)], whole=False, cached=False)
+    after = {b.id for b in drive.balancer.facts.parts[0]}
+    assert gone not in after
+    assert len(after) == PART
+    assert len(before & after) == PART - 1
+
+
+def test_one_more_for_each_cold_one():
+    drive = kept(me=3)
+    first, *_ = drive.balancer.facts.parts[0]
+    started = Listing(first.id, started=drive.now)
+    drive.balancer.roster(drive.now, [started], whole=False, cached=False)
+    assert len(drive.balancer.facts.parts[0]) == PART + 1
+
+
+def test_a_ticket_finds_its_cell_outside_the_part():
+    """Its cell has one backend in the part: the second try must go to the cell all the same."""
+    listings = [Listing(f"b{n}", cell=n // 4) for n in range(40)]
+    drive = Drive(listings, balancers=300, me=1, tariffs__connection=0.03, categories__3__group="cell")
+    (ho,) = hand_offs(drive.take(3))
+    (second,) = hand_offs(drive.back(ho, Outcome.RESET, after=SECOND // 50))
+    assert int(second.backend[1:]) // 4 == int(ho.backend[1:]) // 4
