--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -67,7 +67,7 @@
 # Backends looked at in one decision, at home and as many away: beyond a dozen, chance finds one as good.
 SAMPLE = 12
 # Backends at home that an agent keeps to where connections cost, and twice as many as away.
-PART = 6
+PART = 2
 # Categories kept that the settings name no more.
 DROPPED = 16
 
@@ -452,8 +452,9 @@
         if self.capacity(backend, now) >= 1.0:
             return True
         spent = backend.budget.total(now, 0) if backend.budget else 0.0
-        cost = self.facts.expected(wi.category, wi.work)
-        return (spent + cost <= self.budget(backend, now) or not spent) and len(backend.own) < 3
+        cost, budget = self.facts.expected(wi.category, wi.work), self.budget(backend, now)
+        # Under one work item the budget is taken by chance, in the draw; a look at it here would halve that.
+        return (spent + cost <= budget or budget < cost) and len(backend.own) < 3
 
     def budget(self, backend: Backend, now: Time) -> float:
         """Half the push that topples it, shared with agents that cannot be seen; never in one burst."""
@@ -603,6 +604,9 @@
         known = 0.0 if b.read_at is None else exp(-(now - b.read_at) / KNOWN)
         return known if b.pinned is None else 1.0
 
+    def _power(self, b: Backend, now: Time) -> float:
+        return BLUNT + (SHARPNESS - BLUNT) * self.known(b, now)
+
     def _faded(self, b: Backend, now: Time) -> float:
         """What has been learned of a backend's speed fades to what its kind and its zone show, or one that
         recovers would never be tried."""
@@ -640,29 +644,31 @@
             fresh = [b for b in choices if b not in used]
             choices = fresh or choices
         p.ask = self._stale(p, choices)
-        views = [log(self.view(b, p.now)) for b in choices]
+        # A cold one gets work in proportion to what it bears: by the power of the draw it would get none.
+        bears = [self.soundness.capacity(b, p.now) for b in choices]
+        views = [log(self.view(b, p.now) * bear) for b, bear in zip(choices, bears, strict=True)]
         mean = sum(views) / len(views)
         # As sharp as the memory is worth: agents that know equally little must not all like the same few.
         weights = [
-            exp((BLUNT + (SHARPNESS - BLUNT) * self.known(b, p.now)) * max(-4.0, min(4.0, mean - view)))
-            for b, view in zip(choices, views, strict=True)
+            bears[n] * exp(self._power(b, p.now) * max(-4.0, min(4.0, mean - views[n])))
+            for n, b in enumerate(choices)
         ]
         # Where a key is warm there is less to do, as long as the backend is no slower than others.
         for n, b in enumerate(choices):
             if b in p.favoured and views[n] <= mean + 0.5:
                 weights[n] *= KEY_PULL
-        return self._draw(p, choices, weights)
+        return self._draw(p, choices, weights, bears)
 
-    def _draw(self, p: Passage, choices: list[Backend], weights: list[float]) -> bool:
+    def _draw(self, p: Passage, choices: list[Backend], weights: list[float], bears: list[float]) -> bool:
         """Where an equal share of a cold backend's budget is under one work item, it is taken by chance: as a
         part of own work items. If all agents keep to that, unseen and busy ones too, their sum does."""
         one = self.facts.expected(p.wi.category, p.wi.work)
-        bears = [self.soundness.capacity(b, p.now) for b in choices]
         total, clipped = sum(weights), []
         for n, b in enumerate(choices):
             if bears[n] < 1.0 and self.soundness.budget(b, p.now) < one:
                 group = len(self.facts.far if p.offload else self.facts.near)
-                drawn = 1.0 if b in self.facts.recent else len(choices) / max(len(choices), group)
+                often = b in self.facts.recent and not self.facts.kept
+                drawn = 1.0 if often else len(choices) / max(len(choices), group)
                 most = 0.7 * self.soundness.factor * bears[n] / (self.facts.running * drawn)
                 weights[n] = min(weights[n], most * total)
                 clipped.append(n)
@@ -724,7 +730,8 @@
         if r.wi is not None:
             category = r.wi.category
             expected = self.facts.expected(category, r.wi.work)
-            ratio = max(1, r.took) / (expected * (1.0 + r.ho.ahead))
+            # A cold one is known to be slow: what it takes on top of that is its own.
+            ratio = max(1, r.took) * self.soundness.capacity(b, r.ho.at) / (expected * (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED:
                 own = r.ho.own
                 longer = min(8.0, r.took / (expected * exp(self._faded(b, r.now))) - 1.0)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -182,3 +182,32 @@
         usual[after] = drive.balancer.facts.categories[0].base
     assert usual[500] < 0.6 * start
     assert usual[8000] < 3 * start
+
+
+@pytest.mark.parametrize(("age", "least", "most"), [(2, 0.2, 0.9), (7, 0.5, 1.3)])
+def test_a_cold_backend_gets_work_by_what_it_bears(age, least, most):
+    """Warm ones that an agent knows well must not starve a cold one, nor may its own small budget."""
+    warm, cold = Counter(), 0
+    for seed in range(60):
+        now = 100_000
+        listings = [*(Listing(f"w{n}") for n in range(7)), Listing("c", started=now - age * SECOND)]
+        drive = Drive(listings, seed=seed, balancers=300, now=now)
+        for n in range(7):
+            drive.balancer.probed(now, f"w{n}", Outcome.FINISHED, 3, {"outstanding": 0})
+        for _ in range(20):
+            for ho in hand_offs(drive.take()):
+                warm[ho.backend] += ho.backend != "c"
+                cold += ho.backend == "c"
+                drive.back(ho, Outcome.RECALLED, after=0, closed=True)
+    usual = sum(warm.values()) / 7
+    assert least * usual < cold < most * usual
+
+
+def test_the_pace_of_a_cold_backend_is_learned_beside_its_coldness():
+    drive = Drive([Listing("c", started=99_000), Listing("w")], rules__warm_within=60 * SECOND)
+    b = drive.balancer.facts.backends["c"]
+    for _ in range(40):
+        for ho in hand_offs(drive.take()):
+            slow = drive.balancer.soundness.capacity(b, drive.now) if ho.backend == "c" else 1.0
+            drive.back(ho, after=int(1000 / slow))
+    assert abs(drive.balancer.memory._faded(b, drive.now)) < 0.3
