--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -60,7 +60,7 @@
 # Marks of a backend on the circle of keys; how much a key's own backends are favoured while no longer than
 # others; own work items over which keys are counted.
 KEY_MARKS = 12
-KEY_PULL = 40.0
+KEY_PULL = 200.0
 KEYS_COUNTED = 100
 # Points of the result, as a fraction, that probing before draws may cost.
 PROBE_SPEND = 0.01
@@ -525,6 +525,7 @@
         self.facts = facts
         self.counts: dict[str, float] = {}
         self.total = 0.0
+        self.asked = 0
 
     def taken(self, key: str) -> None:
         """Counts own work items by key, the old ones fading, so that a hot key is known as one."""
@@ -548,7 +549,13 @@
         wanted = 1 + min(int(2 * share * len(self.facts.near)), SAMPLE // 2)
         start = bisect_left(circle, mark_of(key), key=lambda at: at[0])
         turn = (circle[(start + n) % len(circle)][1] for n in range(min(len(circle), 4 * SAMPLE)))
-        return list(dict.fromkeys(turn))[:wanted]
+        found = list(dict.fromkeys(turn))[:wanted]
+        self.asked += 1
+        for b in found:
+            # The part of the work items that name it, over as many as keys are counted.
+            old = exp(-(self.asked - b.pulled_at) / KEYS_COUNTED)
+            b.pull, b.pulled_at = old * b.pull + (1.0 - exp(-1.0 / KEYS_COUNTED)), self.asked
+        return found
 
 
 class Memory:
@@ -605,7 +612,8 @@
         return known if b.pinned is None else 1.0
 
     def _power(self, b: Backend, now: Time) -> float:
-        return BLUNT + (SHARPNESS - BLUNT) * self.known(b, now)
+        # Reports that foretell nothing are no knowledge: all agents would crowd the same few by them.
+        return BLUNT + (SHARPNESS - BLUNT) * self.known(b, now) * min(1.0, 2.0 * self.belief)
 
     def _faded(self, b: Backend, now: Time) -> float:
         """What has been learned of a backend's speed fades to what its kind and its zone show, or one that
@@ -653,9 +661,9 @@
             bears[n] * exp(self._power(b, p.now) * max(-4.0, min(4.0, mean - views[n])))
             for n, b in enumerate(choices)
         ]
-        # Where a key is warm there is less to do, as long as the backend is no slower than others.
+        # Where a key is warm there is less to do, as long as the backend is not slower by more than that saves.
         for n, b in enumerate(choices):
-            if b in p.favoured and views[n] <= mean + 0.5:
+            if b in p.favoured and views[n] <= mean + 1.0:
                 weights[n] *= KEY_PULL
         return self._draw(p, choices, weights, bears)
 
@@ -669,6 +677,8 @@
                 group = len(self.facts.far if p.offload else self.facts.near)
                 often = b in self.facts.recent and not self.facts.kept
                 drawn = 1.0 if often else len(choices) / max(len(choices), group)
+                if b in p.favoured:
+                    drawn = max(1.0 / self.facts.running, b.pull)  # a draw that is its own by a key
                 most = 0.7 * self.soundness.factor * bears[n] / (self.facts.running * drawn)
                 weights[n] = min(weights[n], most * total)
                 clipped.append(n)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -211,3 +211,45 @@
             slow = drive.balancer.soundness.capacity(b, drive.now) if ho.backend == "c" else 1.0
             drive.back(ho, after=int(1000 / slow))
     assert abs(drive.balancer.memory._faded(b, drive.now)) < 0.3
+
+
+def test_a_cold_backend_takes_draws_that_are_its_own_by_a_key():
+    """Clipped as one drawn for any key, the home of some keys would get next to none of them."""
+    now, sent, named = 100_000, 0, 0
+    listings = [Listing(f"b{n}", started=0 if n else now - 4 * SECOND) for n in range(40)]
+    for seed in range(20):
+        drive = Drive(listings, seed=seed, balancers=20, now=now, family_info__warm_keys=True)
+        homes = [(key, drive.balancer.keys.preferred(key)[0].id) for key in map("k{}".format, range(400))]
+        mine = [key for key, home in homes if home == "b0"][:3]
+        others = [key for key, home in homes if home != "b0"][:117]
+        for key in 2 * (mine + others):
+            named += key in mine
+            for ho in hand_offs(drive.take(key=key)):
+                sent += key in mine and ho.backend == "b0"
+                drive.back(ho, Outcome.RECALLED, after=0, closed=True)
+    assert named == 120
+    assert 0.35 * named < sent < 0.95 * named
+
+
+@pytest.mark.parametrize(("belief", "sharp"), [(0.5, True), (0.05, False)])
+def test_the_draw_is_no_sharper_than_reports_have_foretold(belief, sharp):
+    drive = Drive(fleet([0] * 10))
+    memory = drive.balancer.memory
+    memory.squares, memory.products = 1e6, belief * 1e6
+    for b in drive.balancer.facts.backends.values():
+        drive.balancer.probed(drive.now, b.id, Outcome.FINISHED, 3, {"outstanding": 0})
+        assert (memory._power(b, drive.now) > 11) == sharp
+        assert memory._power(b, drive.now + 60 * SECOND) < 3.1
+
+
+@pytest.mark.parametrize(("slower", "kept"), [(0.8, True), (1.6, False)])
+def test_a_key_stays_at_home_while_that_is_less_than_the_work_it_saves(slower, kept):
+    drive = Drive(fleet([0] * 10), family_info__warm_keys=True)
+    home = drive.balancer.keys.preferred("k")[0]
+    home.pace, home.paced_at, home.heard_at = slower, drive.now, drive.now
+    sent = 0
+    for _ in range(60):
+        for ho in hand_offs(drive.take(key="k")):
+            sent += ho.backend == home.id
+            drive.back(ho, Outcome.RECALLED, after=0, closed=True)
+    assert (sent > 20) == kept
