--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -112,11 +112,10 @@
         self.circle: list[tuple[int, Backend]] = []
         self.out: dict[BackendId, Time] = {}  # of service by an operator's call, since when
         self.owed: dict[BackendId, Time] = {}  # back in service, and when each is tried next
-        self.recent: deque[Backend] = deque(maxlen=SAMPLE // 2)  # heard from last
         self.processes = 1  # that are one agent for a while
         self.categories: list[Category] = []
         # A category out of range has unknown rights: it gets the strictest ones.
-        self.unknown = Category(0, 0, 1.0, 1.0, 0.0, Effect.EXCLUSIVE, Group.ALL, 0)
+        self.unknown = Category(0, 0, 1.0, 1.0, Effect.EXCLUSIVE, Group.ALL, 0)
         self.open, self.mean_open = 0, 0.0  # hand-offs out now, and over the last seconds
         self.open_at = self.sent_at = 0  # when they changed, and when the last one was sent
         self.tune(settings)
@@ -124,10 +123,11 @@
     def tune(self, settings: Mapping) -> None:
         self.settings = settings
         self.warm_keys = bool(self.get("family_info.warm_keys", False))
-        self.sized = self.get("weights", "silent") in ("nominal", "rough")
         # Where open connections cost, an agent keeps to a part of the fleet, by an order of its own.
         self.kept = float(self.get("tariffs.connection", 0.0)) > 0.0
         self.me = self.get("me", self.seed)
+        # Heard from last; a part is looked at as a whole.
+        self.recent: deque[Backend] = deque(maxlen=0 if self.kept else SAMPLE // 2)
         self.fleet = max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
@@ -140,7 +140,6 @@
             # Anew, as what is open keeps the object that it came with; what was learned stays with the name.
             if was := old.pop(category.name, None):
                 category.usual, category.base, category.seen = was.usual, was.base, was.seen
-                category.work = was.work
         # Behind them those that are named no more, for clients a moment behind the change.
         self.categories, self.named = found + list(old.values())[:DROPPED], len(found)
 
@@ -170,13 +169,8 @@
         self.far = [b for b in running if b.listing.zone != self.home]
         self.parts = self._part(self.near, PART, now), self._part(self.far, PART // 2, now)
         if self.warm_keys:
-            usual = sum(b.listing.size for b in self.near) / max(1, len(self.near))
             for b in self.near:
-                # A larger backend keeps more keys; sizes that follow the load would move them all the time.
-                size = b.listing.size / usual if self.sized and usual > 0 else 1.0
-                wanted = int(KEY_MARKS * min(4.0, max(0.25, size)))
-                b.marks += [mark_of(f"{b.id} {n}") for n in range(len(b.marks), wanted)]
-                del b.marks[wanted:]
+                b.marks = b.marks or [mark_of(f"{b.id} {n}") for n in range(KEY_MARKS)]
             self.circle = sorted(((mark, b) for b in self.near for mark in b.marks), key=lambda at: at[0])
 
     def _part(self, group: list[Backend], width: int, now: Time) -> list[Backend]:
@@ -195,16 +189,15 @@
         found = []
         for group, part, home in ((self.near, self.parts[0], True), (self.far, self.parts[1], False)):
             some = [b for b in favoured if home and fits(b)]
-            for b in self.recent if not self.kept else ():
+            for b in self.recent:
                 here = (b.listing.zone == self.home) is home and self.backends.get(b.id) is b
                 if here and b.runs and b not in some and fits(b):
                     some.append(b)
             # Few may fit: a ticket bound to one cell, half a fleet drained. One wider look follows, no more.
             for width in (SAMPLE, 4 * SAMPLE):
                 if width == SAMPLE or len(some) < min(len(part), SAMPLE // 3):
-                    few = len(group) <= SAMPLE
                     drawn = part if width == SAMPLE and self.kept else group
-                    if not few and not self.kept:
+                    if len(group) > SAMPLE and not self.kept:
                         drawn = self.chance.sample(group, min(len(group), width))
                     some += [b for b in drawn if b not in some and fits(b)]
             del some[len(part) if self.kept else SAMPLE :]
@@ -218,7 +211,6 @@
             expiry=self.get(prefix + "expiry", 0),
             payoff=float(self.get(prefix + "payoff", 1.0)),
             late_payoff=float(self.get(prefix + "overdue_payoff", 0.0)),
-            stretch=float(self.get(prefix + "aim_stretch", 0.0)),
             effect=Effect(self.get(prefix + "effect", "exclusive")),
             group=Group(self.get(prefix + "group", "all")),
             window=self.get(prefix + "window", 0),
@@ -234,13 +226,9 @@
         known = [other.base / other.due for other in named if other.base and other.due]
         return (sum(known) / len(known) if known else 0.2) * (category.due or SECOND)
 
-    def expected(self, category: Category, work: float | None) -> float:
-        """How long this work item takes where nothing is ahead of it."""
-        base = category.base or self.guess(category)
-        if work and category.work:
-            # Waiting on others is part of an answer, so time grows more slowly than the work.
-            base *= min(4.0, max(0.5, 0.5 + 0.5 * work / category.work))
-        return base
+    def expected(self, category: Category) -> float:
+        """How long a work item of it takes where nothing is ahead of it."""
+        return category.base or self.guess(category)
 
 
 class Ledger:
@@ -301,13 +289,13 @@
 
     def taken(self, wi: WorkItem, now: Time) -> None:
         if self.shares and 0 <= wi.customer < len(self.shares):
-            self.usage.add(now, wi.customer, self.facts.expected(wi.category, wi.work))
+            self.usage.add(now, wi.customer, self.facts.expected(wi.category))
 
     def _density(self, category: Category) -> float:
         """Payoff for the work it costs."""
         if self.facts.by_work:
             return category.payoff
-        return category.payoff / max(1.0, self.facts.expected(category, None))
+        return category.payoff / max(1.0, self.facts.expected(category))
 
     def _rank(self, wi: WorkItem, now: Time) -> float:
         """Payoff for the work it costs, against the best category's: 0 to 1."""
@@ -335,7 +323,7 @@
         if self.facts.open > 1 and self.facts.open >= room or room < 2.0 and self.facts.mean_open >= room:
             return False
         views = [self.memory.view(b, p.now) for b in p.choices]
-        self.outlook = min(views) * self.facts.expected(wi.category, wi.work)
+        self.outlook = min(views) * self.facts.expected(wi.category)
         if wi.category.late_payoff > 0:
             return True
         left = wi.due - p.now
@@ -352,7 +340,7 @@
         if r.wi is None or r.outcome in (Outcome.UNSENT, Outcome.RECALLED, Outcome.UNREACHABLE):
             return
         category, b = r.wi.category, r.ho.backend
-        expected = self.facts.expected(category, r.wi.work)
+        expected = self.facts.expected(category)
         sample = 2 * CROWD if r.outcome is Outcome.FULL else min(2 * CROWD, r.took / expected)
         # What no queue there explains comes of the way, or of the agent's own lateness: no cut cures it. The
         # last reading tells where the backend has answered others since.
@@ -452,7 +440,7 @@
         if self.capacity(backend, now) >= 1.0:
             return True
         spent = backend.budget.total(now, 0) if backend.budget else 0.0
-        cost, budget = self.facts.expected(wi.category, wi.work), self.budget(backend, now)
+        cost, budget = self.facts.expected(wi.category), self.budget(backend, now)
         # Under one work item the budget is taken by chance, in the draw; a look at it here would halve that.
         return (spent + cost <= budget or budget < cost) and len(backend.own) < 3
 
@@ -466,7 +454,7 @@
         if self.capacity(backend, p.now) < 1.0:
             if backend.budget is None:
                 backend.budget = Ring(self.span, 1)
-            backend.budget.add(p.now, 0, self.facts.expected(p.wi.category, p.wi.work))
+            backend.budget.add(p.now, 0, self.facts.expected(p.wi.category))
 
     def _median(self, now: Time) -> float:
         """Over the whole fleet; backends not judged of late have failed nothing and need no look."""
@@ -670,13 +658,12 @@
     def _draw(self, p: Passage, choices: list[Backend], weights: list[float], bears: list[float]) -> bool:
         """Where an equal share of a cold backend's budget is under one work item, it is taken by chance: as a
         part of own work items. If all agents keep to that, unseen and busy ones too, their sum does."""
-        one = self.facts.expected(p.wi.category, p.wi.work)
+        one = self.facts.expected(p.wi.category)
         total, clipped = sum(weights), []
         for n, b in enumerate(choices):
             if bears[n] < 1.0 and self.soundness.budget(b, p.now) < one:
                 group = len(self.facts.far if p.offload else self.facts.near)
-                often = b in self.facts.recent and not self.facts.kept
-                drawn = 1.0 if often else len(choices) / max(len(choices), group)
+                drawn = 1.0 if b in self.facts.recent else len(choices) / max(len(choices), group)
                 if b in p.favoured:
                     drawn = max(1.0 / self.facts.running, b.pull)  # a draw that is its own by a key
                 most = 0.7 * self.soundness.factor * bears[n] / (self.facts.running * drawn)
@@ -695,7 +682,7 @@
         """Backends to ask before the draw: an agent with a trickle of traffic remembers only old queues."""
         if p.wi.asked or p.wi.sent or not self.asks_first or len(choices) < 2:
             return []
-        expected = self.facts.expected(p.wi.category, p.wi.work)
+        expected = self.facts.expected(p.wi.category)
         if self.probe_took.faded(p.now, 2 * SECOND) > 0.05 * expected:
             return []  # such a probe waits in line itself
         old = [b for b in choices if b.read_at is None or p.now - b.read_at > 0.1 * expected]
@@ -739,7 +726,7 @@
             return
         if r.wi is not None:
             category = r.wi.category
-            expected = self.facts.expected(category, r.wi.work)
+            expected = self.facts.expected(category)
             # A cold one is known to be slow: what it takes on top of that is its own.
             ratio = max(1, r.took) * self.soundness.capacity(b, r.ho.at) / (expected * (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED:
@@ -750,7 +737,7 @@
                 self.own_products = 0.995 * self.own_products + 0.1 + own * (longer - self.belief * others)
                 self.squares = 0.995 * self.squares + 0.1 + others**2
                 self.products = 0.995 * self.products + 0.05 + others * (longer - self.crowding * own)
-                self._learn(category, r.wi.work, r.took / (1.0 + r.ho.ahead))
+                self._learn(category, r.took / (1.0 + r.ho.ahead))
             if r.outcome is Outcome.FINISHED or ratio > 1.0:
                 sample = log(min(8.0, max(0.25, ratio)))
                 kind = self.kinds.setdefault(b.listing.kind, Trend(0.0, r.now))
@@ -764,7 +751,7 @@
                 kind.learn(sample, r.now, 20 * SECOND, 0.01)
         self.read(b, r.report, r.now, r.outcome in (Outcome.FINISHED, Outcome.ERROR))
 
-    def _learn(self, category: Category, work: float | None, alone: float) -> None:
+    def _learn(self, category: Category, alone: float) -> None:
         category.base = category.base or self.facts.guess(category)
         category.seen += 1
         # The guess counts as two answers: one alone may be many times the usual, and a category thought
@@ -773,8 +760,6 @@
         # Rises slower than it falls, or a jam would soon pass for the usual.
         rise = gain if alone < category.base else 0.25 * gain
         category.base = category.base + rise * (alone - category.base)
-        if work:
-            category.work += gain * (work - category.work) if category.work else work
 
 
 class Zoning:
@@ -810,7 +795,7 @@
         """A crossing costs the same for all: what is worth more, and moves more work, crosses first."""
         worth = wi.category.payoff
         if self.facts.by_work:
-            worth *= self.facts.expected(wi.category, wi.work)
+            worth *= self.facts.expected(wi.category)
         self.worth = worth if not self.worth else 0.98 * self.worth + 0.02 * worth
         return self.threshold * min(3.0, max(0.5, self.worth / max(worth, 1e-9)))
 
@@ -916,15 +901,14 @@
 
     def take(
         self, now: Time, id: WorkItemId, category: int, expiry: Time, *, customer: int = 0,
-        key: str | None = None, work: float | None = None, again: bool = False, long: bool = False,
+        key: str | None = None, again: bool = False, long: bool = False,
     ) -> Step:
         kind = self.facts.category(category)
         due = expiry
         # When a long one will be whole is not known: until then it counts as one with all its time.
         if kind.due and not long:
-            allowed = kind.due + int(kind.stretch * (work or 0))
-            due = min(expiry, self._first_taken(now, kind, expiry, again) + allowed)
-        wi = WorkItem(id, kind, now, due, expiry, customer, work, again, self.ledger.most, key)
+            due = min(expiry, self._first_taken(now, kind, expiry, again) + kind.due)
+        wi = WorkItem(id, kind, now, due, expiry, customer, again, self.ledger.most, key)
         self.ledger.open[id] = wi
         self.admission.taken(wi, now)
         if key is not None and self.facts.warm_keys:
@@ -986,6 +970,7 @@
         self.facts.tune(settings)
         for stage in (self.ledger, self.admission, self.soundness):
             stage.tune()
+        self.facts.regroup(now)  # its zone, its number or the price of connections may be others
         return self._step(now)
 
     def share(self, processes: int) -> None:
@@ -1080,21 +1065,20 @@
 
     def _overdue(self, wi: WorkItem, ho: Sent, now: Time) -> None:
         """Nothing has come of a hand-off for several times as long as it should have taken."""
-        if wi.work is None:
-            # A backend that answers others may be at work on a heavy one: a copy would double the heaviest
-            # work. A lone heavy item looks like silence, so a probe asks first.
-            if ho.backend.heard_at >= ho.at:
-                return
-            if self.facts.may_probe and not ho.asked:
-                ho.asked = True
-                self.acts.append(Probe(ho.backend.id))
-                self._alarm(now + int(self.facts.expected(wi.category, None)), wi, ho.number)
-                return
+        # A backend that answers others may be at work on a heavy one: a copy would double the heaviest work.
+        # A lone heavy item looks like silence, so a probe asks first.
+        if ho.backend.heard_at >= ho.at:
+            return
+        if self.facts.may_probe and not ho.asked:
+            ho.asked = True
+            self.acts.append(Probe(ho.backend.id))
+            self._alarm(now + int(self.facts.expected(wi.category)), wi, ho.number)
+            return
         # A backend that swallows some of its work would otherwise fill the limit with what never returns.
         ho.lost = True
         self.facts.count_open(now, -1)
         self.soundness.judge(ho.backend, True, now)
-        if wi.due - now <= self.facts.expected(wi.category, wi.work) or len(wi.sent) != ho.number + 1:
+        if wi.due - now <= self.facts.expected(wi.category) or len(wi.sent) != ho.number + 1:
             return
         if self.facts.may_copy and self.copies >= 1.0:
             self._route(wi, now, extra=True)
@@ -1153,7 +1137,7 @@
         wi.asked = True
         self.acts += [Probe(b.id) for b in p.ask]
         patience = 2 * self.resolution + int(2 * memory.probe_took.value)
-        if patience > 0.1 * self.facts.expected(wi.category, wi.work):
+        if patience > 0.1 * self.facts.expected(wi.category):
             return False
         wi.asking = len(p.ask)
         for b in p.ask:
@@ -1163,7 +1147,7 @@
 
     def _hand_off(self, p: Passage) -> None:
         wi, now, backend = p.wi, p.now, p.pick
-        expected = self.facts.expected(wi.category, wi.work)
+        expected = self.facts.expected(wi.category)
         ahead = self.memory.queue(backend, now)
         due_back = now + int((1 + ahead) * expected * self.memory.pace(backend, now)) + 1
         others = self.memory.others(backend, now)
--- a/src/nettledeal/inheritance.py
+++ b/src/nettledeal/inheritance.py
@@ -20,7 +20,7 @@
     return {
         "at": now,
         "categories": {
-            category.name: (category.usual, category.base, category.seen, category.work)
+            category.name: (category.usual, category.base, category.seen)
             for category in balancer.facts.categories
         },
         "limit": (admission.limit, admission.safe, admission.slowdown, admission.was_cut),
@@ -61,7 +61,7 @@
         figures = left["categories"].get(category.name)
         # What has been learned here counts more.
         if figures is not None and not category.seen:
-            to(category, *figures, usual=int, base=float, seen=int, work=float)
+            to(category, *figures[:3], usual=int, base=float, seen=int)
     # Written down while both run, so it is a part already.
     to(admission, *left["limit"], limit=float, safe=float, slowdown=float, was_cut=bool)
     to(balancer.zoning, left["threshold"], threshold=float)
--- a/src/nettledeal/net/protocol/client.py
+++ b/src/nettledeal/net/protocol/client.py
@@ -10,14 +10,13 @@
 
 from nettledeal.model import Time
 from nettledeal.net.protocol.framing import MOST_BODY, Malformed, Message
-from nettledeal.words import TENTH, up
+from nettledeal.words import TENTH
 
 READY = b"/_health"
 # Their answers are framed by rules of their own.
 _NOT_PASSED_ON = (b"CONNECT", b"TRACE")
 # A wait beyond an hour is a mistake, and would keep what it holds for as long.
 _LONGEST_MS = 3_600_000
-MICROSECOND = 1000
 # So much of a long body is kept, to be sent once more while no more of it has been asked for.
 REPLAY = 32 * 1024
 
@@ -36,7 +35,6 @@
     again: bool
     customer: str = ""
     key: str | None = None
-    work: float | None = None
     upload: Upload | None = None
 
 
@@ -121,7 +119,6 @@
             again=headers.get(b"x-retried", b"0") not in (b"", b"0"),
             customer=headers.get(b"x-tenant-id", b"").decode("latin-1"),
             key=headers.get(b"x-route-key", b"").decode("latin-1") or None,
-            work=_work(headers.get(b"x-cost", b"").decode("latin-1"), MICROSECOND),
         )
         _attributes(parcel, headers.get(b"x-attrs", b"").decode("latin-1"))
         return parcel
@@ -135,10 +132,6 @@
     return int(text) * 10
 
 
-def _work(text: str, unit: int) -> Time | None:
-    return up(int(text[:18]) * unit) if text.isascii() and text.isdigit() else None
-
-
 def _attributes(parcel: Parcel, text: str) -> None:
     """The further figures, by the simulator's names; what cannot be read says nothing."""
     for part in text.split(","):
@@ -147,8 +140,6 @@
             parcel.key = value
         elif name == "billing":
             parcel.customer = value
-        elif name == "effort":
-            parcel.work = _work(value, 1)
 
 
 def answer(
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -233,7 +233,7 @@
             self.balancer.take(
                 self.told, id, category, max(at + 1, expiry),
                 customer=self.customers.get(parcel.customer, -1),
-                key=parcel.key, work=parcel.work, again=parcel.again, long=parcel.upload is not None,
+                key=parcel.key, again=parcel.again, long=parcel.upload is not None,
             )
         )
 
--- a/src/nettledeal/records.py
+++ b/src/nettledeal/records.py
@@ -14,7 +14,6 @@
     expiry: Time
     payoff: float
     late_payoff: float
-    stretch: float
     effect: Effect
     group: Group
     window: Time
@@ -22,7 +21,6 @@
     usual: Time = 0  # learned: how long a first try may wait
     base: float = 0.0  # learned: time an answer takes with nothing ahead of it
     seen: int = 0
-    work: float = 0.0  # learned: mean hint
 
 
 @dataclass(slots=True)
@@ -50,7 +48,6 @@
     due: Time
     expiry: Time
     customer: int
-    work: float | None
     again: bool
     most: int  # hand-offs, by the settings that it came under
     key: str | None = None
