--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -57,7 +57,7 @@
 CROWD = 6.0
 # Answers of a category from which its usual time is known.
 LEARNED = 20
-# Marks of a backend on the circle of keys, how much its own keys favour it, work items that are counted.
+# Marks of a backend on the circle of keys; how much its own keys favour it; work items counted by key.
 KEY_MARKS = 12
 KEY_PULL = 200.0
 KEYS_COUNTED = 100
@@ -121,7 +121,7 @@
     def tune(self, settings: Mapping) -> None:
         self.settings = settings
         self.warm_keys = bool(self.get("family_info.warm_keys", False))
-        # Where open connections cost, an agent keeps to a part of the fleet, by an order of its own, and looks
+        # Where open connections cost, an agent keeps to a part of the fleet, by its own order, and looks
         # at all of that; elsewhere a sample has those heard from last.
         self.kept, self.me = self.get("tariffs.connection", 0.0) > 0.0, self.get("me", self.seed)
         self.recent: deque[Backend] = deque(maxlen=0 if self.kept else SAMPLE // 2)
