What a figure means hangs on settings: begun afresh where they change; settings checked

Need: the move changes the number of agents, the price of connections, reports and kinds under a running agent. The limit on own hand-offs is a share by the number of agents, the threshold goes by zones and the price of a crossing, belief by what reports tell, paces by kinds; categories go by name, distrust by id and start.

Change: inheritance.py names what each figure hangs on; a SIGHUP begins afresh what means something else (counted), and a record of another shape, or of a former version that tells none, leaves the rest. The settings that the module reads are checked: numbers finite and not negative, modes by name.

--- a/src/nettledeal/configuration.py
+++ b/src/nettledeal/configuration.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -91,9 +92,13 @@
     "feedback.via": "silent",
 }
 # What a setting must be, where the agent or the module would stumble over anything else.
-_WHOLE = ("balancers", "zone", "allowed.most_hand_offs", "allowed.max_open")
+_WHOLE = ("balancers", "me", "zone", "allowed.most_hand_offs", "allowed.max_open")
 _NUMBERS = ("rules.overload_factor", "rules.cold_from", "surplus_payoff", "tariffs.probe",
-            "tariffs.cross_zone")
+            "tariffs.cross_zone", "tariffs.connection")
+# The same by group and last part of the name, as these have a number between.
+_MANY = (("categories", "payoff"), ("categories", "overdue_payoff"), ("projects", "share"))
+_MODES = {"discovery": ("pushed", "on_request"), "payoff_by": ("request", "work"),
+          "feedback.via": ("piggyback", "pull", "silent"), "weights": ("nominal", "rough", "live", "silent")}
 _FLAGS = ("allowed.may_duplicate", "allowed.cancelling", "allowed.probes", "allowed.retry_after",
           "family_info.warm_keys")
 _GROUPS = ("all", "zone", "cell")
@@ -208,9 +213,14 @@
     whole = isinstance(value, int) and not isinstance(value, bool)
     if (words.is_duration(name) or name in _WHOLE) and (not whole or value < 0):
         raise Fault(f"settings.{name}: {value!r} is no whole number from 0 up")
-    if name in _NUMBERS and not (whole or isinstance(value, float)):
-        raise Fault(f"settings.{name}: {value!r} is no number")
     last = name.rpartition(".")[2]
+    if name in _NUMBERS or (name.partition(".")[0], last) in _MANY:
+        if not (whole or isinstance(value, float)):
+            raise Fault(f"settings.{name}: {value!r} is no number")
+        if not 0 <= value < inf:
+            raise Fault(f"settings.{name}: {value!r} is no number from 0 up")
+    if value not in _MODES.get(name, (value,)):
+        raise Fault(f"settings.{name}: {value!r} is none of {', '.join(_MODES[name])}")
     if last == "effect" and not isinstance(value, str) or last == "group" and value not in _GROUPS:
         raise Fault(f"settings.{name}: {value!r} is not known")
     if name in _FLAGS and not isinstance(value, bool):
--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -274,7 +274,7 @@
 
     def tune(self) -> None:
         facts = self.facts
-        self.longest_wait = facts.get("allowed.max_retry_after", 0) * bool(facts.get("allowed.retry_after"))
+        self.longest_wait = facts.get("allowed.max_retry_after", 0) * facts.get("allowed.retry_after", False)
         self.surplus = float(facts.get("surplus_payoff", 1.0))
         count = facts.get("projects.count", 0)
         self.shares = [float(facts.get(f"projects.{n}.share", 0.0)) for n in range(count)]
--- a/src/nettledeal/inheritance.py
+++ b/src/nettledeal/inheritance.py
@@ -1,24 +1,61 @@
-"""What one process of an agent leaves to the next: figures learned, each with its age.
+"""What one process of an agent leaves to the next, and other settings leave of it: figures with their age.
 
 Decides nothing: it copies between the balancer's notes and plain values. A backend's figures are those of
-one id and one start; a process that finds another start there leaves them.
+one id and one start; a process that finds another start there leaves them. What a figure means hangs on some
+settings, too: where one of these is another, or not known, the figure begins afresh.
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
-from nettledeal.decide import Balancer, Trend
+from nettledeal.decide import CROWD, FIRST_THRESHOLD, Balancer, Trend
 from nettledeal.model import Time
 
 # Older than this a figure of one backend says nothing any more.
 _OLD = 80_000
+# By part: the settings that it hangs on. What is learned of a category goes by its name, and what is
+# distrusted by its id and start.
+_HANGS = {
+    "limit": ("balancers", "zone", "zones", "tariffs.connection"),
+    "threshold": ("zone", "zones", "tariffs.cross_zone"),
+    "belief": ("feedback.fields", "feedback.via"),
+    "paces": ("kinds",),
+}
+
+
+def shape(settings: Mapping[str, Any]) -> dict[str, list[str]]:
+    return {part: [str(settings.get(name, "")) for name in names] for part, names in _HANGS.items()}
+
+
+def renew(balancer: Balancer, before: Mapping[str, list[str]], now: Time) -> list[str]:
+    """Once other settings are in force: begins afresh what meant something else under the old ones."""
+    facts, memory, admission = balancer.facts, balancer.memory, balancer.admission
+    changed = [part for part, values in shape(facts.settings).items() if before.get(part) != values]
+    if "limit" in changed:
+        admission.limit, admission.safe = CROWD / facts.agents, 4 * CROWD
+        admission.slowdown, admission.was_cut, admission.cut_at = 1.0, False, now
+    if "threshold" in changed:
+        balancer.zoning.threshold = FIRST_THRESHOLD
+    if "belief" in changed:
+        memory.squares, memory.products, memory.counted = 20.0, 10.0, 1.0
+        memory.own_squares = memory.own_products = 20.0
+        memory.zones.clear()
+        for b in facts.backends.values():
+            b.read_at = b.pinned = None
+    if "paces" in changed:
+        memory.kinds.clear()
+        for b in facts.backends.values():
+            b.pace = 0.0
+    return changed
 
 
 def bequeath(balancer: Balancer, now: Time) -> dict[str, Any]:
     memory, admission = balancer.memory, balancer.admission
     return {
         "at": now,
+        "shape": shape(balancer.facts.settings),
         "categories": {
             category.name: (category.usual, category.base, category.seen)
             for category in balancer.facts.categories
@@ -50,6 +87,9 @@
     """The changes, all read before the first is made."""
     facts, memory, admission = balancer.facts, balancer.memory, balancer.admission
     changes = []
+    # A record of a former version tells no shape, and then only names and ids are sure to mean the same.
+    told = left.get("shape", {})
+    same = {part for part, values in shape(facts.settings).items() if list(told.get(part, ())) == values}
 
     def to(thing: Any, *numbers: float, **names: type) -> None:
         values = {name: kind(number) for (name, kind), number in zip(names.items(), numbers, strict=True)}
@@ -62,18 +102,21 @@
         # What has been learned here counts more.
         if figures is not None and not category.seen:
             to(category, *figures[:3], usual=int, base=float, seen=int)
-    # Written down while both run, so it is a part already.
-    to(admission, *left["limit"], limit=float, safe=float, slowdown=float, was_cut=bool)
-    to(balancer.zoning, left["threshold"], threshold=float)
-    to(memory, *left["belief"], squares=float, products=float, own_squares=float, own_products=float,
-       counted=float)
-    for kind, (value, at, seen) in left["kinds"].items():
+    if "limit" in same:
+        # Written down while both run, so it is a part already.
+        to(admission, *left["limit"], limit=float, safe=float, slowdown=float, was_cut=bool)
+    if "threshold" in same:
+        to(balancer.zoning, left["threshold"], threshold=float)
+    if "belief" in same:
+        to(memory, *left["belief"], squares=float, products=float, own_squares=float, own_products=float,
+           counted=float)
+    for kind, (value, at, seen) in left["kinds"].items() if "paces" in same else ():
         trend = Trend(float(value), min(now, int(at)), float(seen))
         changes.append(lambda kind=int(kind), trend=trend: memory.kinds.setdefault(kind, trend))
-    for id, (started, *figures) in left["backends"].items():
+    for id, (started, pace, paced_at, distrust, distrust_at) in left["backends"].items():
         b = facts.backends.get(id)
         if b is not None and b.listing.started == started and not b.cold_since and not b.pace:
-            pace, paced_at, distrust, distrust_at = figures
-            to(b, pace, min(now, paced_at), distrust, min(now, distrust_at),
-               pace=float, paced_at=int, distrust=float, distrust_at=int)
+            to(b, distrust, min(now, distrust_at), distrust=float, distrust_at=int)
+            if "paces" in same:
+                to(b, pace, min(now, paced_at), pace=float, paced_at=int)
     return changes
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -14,6 +14,7 @@
 from gevent.queue import Empty, SimpleQueue
 
 from nettledeal.decide import Balancer
+from nettledeal.inheritance import renew, shape
 from nettledeal.model import (
     Act,
     Answer,
@@ -278,7 +279,10 @@
     def _retune(
         self, settings: Mapping, customers: dict[str, int], waits: dict[str, Time], most: int
     ) -> None:
+        before = shape(self.balancer.facts.settings)
         self._carry_out(self.balancer.retune(self._now(), settings))
+        for part in renew(self.balancer, before, self.told):
+            self.counters[f"begun afresh: {part}"] += 1
         facts = self.balancer.facts
         names = [category.name for category in facts.categories]
         self.categories = {name: n for n, name in enumerate(names)}
