--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -310,10 +310,10 @@
         # Backends still cold, or distrusted, add only what they bear: half a fleet replaced is no fleet.
         worthy = sum(self.memory.worthy(b, p.now) for b in p.choices) / len(p.choices)
         room = (0.4 + 0.6 * rank) * self.limit * self.facts.running * worthy
-        # With hundreds of agents a share is a fraction of one work item: it is then taken by time, or the
-        # one that each may always have would add up to several times the whole.
+        # With hundreds of agents a share is a fraction of one work item: it is then taken by time, or the one
+        # that each may always have would add up to several times the whole. Two at once are out by chance.
         self.facts.count_open(p.now)
-        if self.facts.open > 1 and self.facts.open >= room or room < 2.0 and self.facts.mean_open >= room:
+        if self.facts.open > 2 and self.facts.open >= room or room < 2.0 and self.facts.mean_open >= room:
             return False
         self.outlook = min(self.memory.view(b, p.now) for b in p.choices) * self.facts.expected(wi.category)
         if wi.category.late_payoff > 0:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -255,3 +255,12 @@
             sent += mine and ho.backend == home.id
             drive.back(ho, Outcome.RECALLED, after=0, closed=True)
     assert (sent > 0.5 * named) == kept
+
+
+@pytest.mark.parametrize(("out", "sent"), [(1, True), (2, True), (3, False)])
+def test_two_at_once_are_chance_where_a_share_is_small(out, sent):
+    drive = Drive(fleet([0] * 10), balancers=40)
+    drive.balancer.admission.limit = 0.12  # times ten backends: room for little more than one
+    drive.balancer.facts.open, drive.balancer.facts.mean_open = out, 0.3
+    drive.balancer.facts.open_at = drive.now
+    assert bool(hand_offs(drive.take())) == sent
