--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -154,3 +154,45 @@
     assert successor(plain, check(told(me=3, weights="live", tariffs__connection=0.03), {})) is None
     drive = Drive([Listing(f"b{n}") for n in range(30)])
     assert drive.balancer.facts.parts[0] == drive.balancer.facts.near
+
+
+@pytest.mark.parametrize("weight", [0.0, -1.0, float("inf"), float("nan"), 1e-300, 2.0])
+def test_weights_that_move_or_make_no_sense_change_nothing(weight):
+    """A list whose weights follow the load, freeze or are nonsense sends work where one without them does."""
+    seen = []
+    for size in (1.0, weight):
+        drive = Drive([Listing(f"b{n}", size=size) for n in range(8)], weights="live")
+        picks = []
+        for _ in range(30):
+            drive.balancer.roster(drive.now, [Listing("b0", size=size)], whole=False, cached=False)
+            for ho in hand_offs(drive.take()):
+                picks.append(ho.backend)
+                drive.back(ho)
+        seen.append(picks)
+    assert seen[0] == seen[1]
+    assert len(seen[0]) == 30
+
+
+@pytest.mark.parametrize(
+    ("cold_home", "cold_away"), [(1.0, 0.0), (0.96, 0.96), (0.63, 0.63)], ids=["zone", "replaced", "grown"]
+)
+def test_most_of_a_fleet_cold(cold_home, cold_away):
+    """A zone whose backends are all cold, 96% of the fleet replaced, a fleet grown 2.7 times: all agents
+    together stay under the push at the cold ones, and what warm ones there are bear the rest."""
+    work, now = Counter(), 100_000
+    colds = {f"b{n}" for n in range(48) if n % 24 < 24 * (cold_home if n < 24 else cold_away)}
+    for me in range(200):
+        drive = Drive([], balancers=200, me=me, zone=me % 2, tariffs__connection=0.03, seed=me, now=now)
+        listings = [
+            Listing(f"b{n}", zone=n // 24, started=now if f"b{n}" in colds else 0) for n in range(48)
+        ]
+        drive.balancer.roster(now, listings, whole=True, cached=False)
+        for _ in range(6):
+            for ho in hand_offs(drive.take()):
+                work[ho.backend] += 1
+                drive.back(ho, after=500)
+            drive.now += SECOND // 6
+    equal = 200 * 6 / 48
+    # Seven tenths of the push, 3 times three tenths of what an equal share is, grown by a second's warming.
+    assert 0 < sum(work[b] for b in colds) / len(colds) < 0.7 * 3.0 * 0.4 * equal
+    assert sum(work.values()) > 0.25 * 200 * 6
