--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -196,3 +196,47 @@
     # Seven tenths of the push, 3 times three tenths of what an equal share is, grown by a second's warming.
     assert 0 < sum(work[b] for b in colds) / len(colds) < 0.7 * 3.0 * 0.4 * equal
     assert sum(work.values()) > 0.25 * 200 * 6
+
+
+def test_an_agent_back_with_an_old_list_holds_back_until_that_is_confirmed():
+    drive = Drive([], balancers=2, me=2, tariffs__connection=0.03)
+    listings = [Listing(f"b{n}") for n in range(30)]
+    drive.balancer.roster(drive.now, listings, whole=True, cached=True)
+    first = [ho.backend for _ in range(20) for ho in hand_offs(drive.take())]
+    assert first and max(Counter(first).values()) <= 2
+    gone, *left = [b.id for b in drive.balancer.facts.parts[0]]
+    others = [id for id in map("b{}".format, range(30)) if id != gone]
+    news = [Listing(id, started=drive.now if id in left else 0) for id in others]
+    drive.balancer.roster(drive.now, news, whole=True, cached=False)
+    drive.now += 5 * SECOND
+    assert gone not in [ho.backend for _ in range(20) for ho in hand_offs(drive.take())]
+
+
+def test_all_slow_together_exiles_nobody_and_passes():
+    drive = Drive([Listing(f"b{n}") for n in range(10)], balancers=20)
+    for after, turns in ((500, 60), (1400, 100), (500, 100)):
+        picks, deferred = Counter(), 0
+        for _ in range(turns):
+            acts = drive.take()
+            deferred += len(answers(acts))
+            for ho in hand_offs(acts):
+                picks[ho.backend] += 1
+                drive.back(ho, after=after)
+        assert len(picks) == 10
+    assert not deferred
+    assert not any(b.distrust for b in drive.balancer.facts.backends.values())
+
+
+@pytest.mark.parametrize(("surplus", "spared"), [(0.2, True), (1.0, False)])
+def test_a_customer_far_over_its_share_is_deferred_before_one_under_it(surplus, spared):
+    shares = {"projects.0.share": 0.5, "projects.1.share": 0.5, "surplus_payoff": surplus}
+    drive = Drive(balancers=3, projects__count=2, **shares)
+    for n in range(40):
+        customer = int(n % 10 == 0)
+        for ho in hand_offs(drive.take(0, customer=customer)):
+            drive.back(ho, after=1)
+    kept = [0, 0]
+    for _ in range(30):
+        for customer in (0, 1):
+            kept[customer] += len(hand_offs(drive.take(0, customer=customer)))
+    assert (kept[1] > kept[0] + 1) == spared
