Read once more: one test of what is cold, figures of a part named once, twins in tests out

Found on reading the change. Facts._part told what is cold beside Soundness.capacity, with a default of its own: both now ask Facts.cold. inheritance.renew repeated the opening figures of Admission, Memory and Zoning, and the names of each part's figures stood there three times: they are named once and begin as fresh stages do. test_part had a twin of spread, test_move one of changed, which now takes several settings. A condition in Facts.sample that its other half implies is gone, and two fields have their lines back.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -107,7 +107,8 @@
         self.near: list[Backend] = []
         self.far: list[Backend] = []
         self.parts: tuple[list[Backend], list[Backend]] = [], []  # of these, what is looked at first
-        self.running, self.circle = 0, list[tuple[int, Backend]]()
+        self.running = 0
+        self.circle: list[tuple[int, Backend]] = []
         self.out: dict[BackendId, Time] = {}  # of service by an operator's call, since when
         self.owed: dict[BackendId, Time] = {}  # back in service, and when each is tried next
         self.processes = 1  # that are one agent for a while
@@ -125,6 +126,7 @@
         # at all of that; elsewhere a sample has those heard from last.
         self.kept, self.me = self.get("tariffs.connection", 0.0) > 0.0, self.get("me", self.seed)
         self.recent: deque[Backend] = deque(maxlen=0 if self.kept else SAMPLE // 2)
+        self.warm_within = max(1, self.get("rules.warm_within", 30 * SECOND))
         self.fleet = max(1, int(self.get("balancers", 1)))
         self.home = self.get("zone", 0)
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
@@ -168,10 +170,12 @@
                 b.marks = b.marks or [mark_of(f"{b.id} {n}") for n in range(KEY_MARKS)]
             self.circle = sorted(((mark, b) for b in self.near for mark in b.marks), key=lambda at: at[0])
 
+    def cold(self, b: Backend, now: Time) -> bool:
+        return b.started > 0 and now - b.started < self.warm_within
+
     def _part(self, group: list[Backend], width: int, now: Time) -> list[Backend]:
         """The first few, whatever the others are; one more for each that is still cold."""
-        warm_within = self.get("rules.warm_within", 30 * SECOND)
-        cold = sum(b.started > 0 and now - b.started < warm_within for b in group[:width])
+        cold = sum(self.cold(b, now) for b in group[:width])
         return group[: width + cold] if self.kept else group
 
     def heard(self, b: Backend) -> None:
@@ -191,7 +195,7 @@
             # Few may fit: a ticket bound to one cell, half a fleet drained. One wider look follows, no more.
             for width in (SAMPLE, 4 * SAMPLE):
                 if width == SAMPLE or len(some) < min(len(part), SAMPLE // 3):
-                    drawn = part if width == SAMPLE and self.kept else group
+                    drawn = part if width == SAMPLE else group
                     if len(group) > SAMPLE and not self.kept:
                         drawn = self.chance.sample(group, min(len(group), width))
                     some += [b for b in drawn if b not in some and fits(b)]
@@ -411,17 +415,14 @@
         self.tune()
 
     def tune(self) -> None:
-        facts = self.facts
-        self.factor = float(facts.get("rules.overload_factor", 1.0))
-        self.span = max(1, facts.get("rules.tip_after", SECOND))
-        self.cold_from = float(facts.get("rules.cold_from", 0.1))
-        self.warm_within = max(1, facts.get("rules.warm_within", 30 * SECOND))
+        self.factor = float(self.facts.get("rules.overload_factor", 1.0))
+        self.span = max(1, self.facts.get("rules.tip_after", SECOND))
+        self.cold_from = float(self.facts.get("rules.cold_from", 0.1))
 
     def capacity(self, backend: Backend, now: Time) -> float:
-        started = backend.started
-        if not started or now - started >= self.warm_within:
+        if not self.facts.cold(backend, now):
             return 1.0
-        age = max(0, now - started) / self.warm_within
+        age = max(0, now - backend.started) / self.facts.warm_within
         return self.cold_from + (1 - self.cold_from) * age
 
     def allows(self, wi: WorkItem, backend: Backend, now: Time) -> bool:
--- a/src/nettledeal/inheritance.py
+++ b/src/nettledeal/inheritance.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from nettledeal.decide import CROWD, FIRST_THRESHOLD, Balancer, Trend
+from nettledeal.decide import Admission, Balancer, Memory, Trend, Zoning
 from nettledeal.model import Time
 
 # Older than this a figure of one backend says nothing any more.
@@ -23,26 +23,38 @@
     "belief": ("feedback.fields", "feedback.via"),
     "paces": ("kinds",),
 }
+# The figures of a part, in the order in which a record tells them.
+_LIMIT = {"limit": float, "safe": float, "slowdown": float, "was_cut": bool}
+_THRESHOLD = {"threshold": float}
+_BELIEF = {"squares": float, "products": float, "own_squares": float, "own_products": float, "counted": float}
 
 
 def shape(settings: Mapping[str, Any]) -> dict[str, list[str]]:
     return {part: [str(settings.get(name, "")) for name in names] for part, names in _HANGS.items()}
 
 
+def _figures(thing: Any, names: Mapping[str, type]) -> tuple:
+    return tuple(getattr(thing, name) for name in names)
+
+
+def _begin(thing: Any, fresh: Any, names: Mapping[str, type]) -> None:
+    for name in names:
+        setattr(thing, name, getattr(fresh, name))
+
+
 def renew(balancer: Balancer, before: Mapping[str, list[str]], now: Time) -> list[str]:
     """Once other settings are in force: begins afresh what meant something else under the old ones."""
     facts, memory, admission = balancer.facts, balancer.memory, balancer.admission
     changed = [part for part, values in shape(facts.settings).items() if before.get(part) != values]
     if "limit" in changed:
-        admission.limit, admission.safe = CROWD / facts.agents, 4 * CROWD
-        admission.slowdown, admission.was_cut, admission.cut_at = 1.0, False, now
+        _begin(admission, Admission(facts, memory), _LIMIT)
+        admission.cut_at = now
         # What was out on average is of the old load: against the new share it would defer for a second.
         facts.mean_open = 0.0
     if "threshold" in changed:
-        balancer.zoning.threshold = FIRST_THRESHOLD
+        _begin(balancer.zoning, Zoning(facts, memory), _THRESHOLD)
     if "belief" in changed:
-        memory.squares, memory.products, memory.counted = 20.0, 10.0, 1.0
-        memory.own_squares = memory.own_products = 20.0
+        _begin(memory, Memory(facts, balancer.soundness), _BELIEF)
         memory.zones.clear()
         for b in facts.backends.values():
             b.read_at = b.pinned = None
@@ -62,10 +74,10 @@
             category.name: (category.usual, category.base, category.seen)
             for category in balancer.facts.categories
         },
-        "limit": (admission.limit, admission.safe, admission.slowdown, admission.was_cut),
+        "limit": _figures(admission, _LIMIT),
         "threshold": balancer.zoning.threshold,
         "kinds": {str(kind): (trend.value, trend.at, trend.seen) for kind, trend in memory.kinds.items()},
-        "belief": (memory.squares, memory.products, memory.own_squares, memory.own_products, memory.counted),
+        "belief": _figures(memory, _BELIEF),
         "backends": {
             str(b.id): (b.listing.started, b.pace, b.paced_at, b.distrust, b.distrust_at)
             for b in balancer.facts.backends.values()
@@ -106,12 +118,11 @@
             to(category, *figures[:3], usual=int, base=float, seen=int)
     if "limit" in same:
         # Written down while both run, so it is a part already.
-        to(admission, *left["limit"], limit=float, safe=float, slowdown=float, was_cut=bool)
+        to(admission, *left["limit"], **_LIMIT)
     if "threshold" in same:
-        to(balancer.zoning, left["threshold"], threshold=float)
+        to(balancer.zoning, left["threshold"], **_THRESHOLD)
     if "belief" in same:
-        to(memory, *left["belief"], squares=float, products=float, own_squares=float, own_products=float,
-           counted=float)
+        to(memory, *left["belief"], **_BELIEF)
     for kind, (value, at, seen) in left["kinds"].items() if "paces" in same else ():
         trend = Trend(float(value), min(now, int(at)), float(seen))
         changes.append(lambda kind=int(kind), trend=trend: memory.kinds.setdefault(kind, trend))
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -6,7 +6,7 @@
 import pytest
 from helpers import SECOND, Drive, answers, hand_offs, settings
 from test_owner import Desk
-from test_program import TOLD
+from test_program import TOLD, changed
 
 from nettledeal.configuration import Fault, check, successor
 from nettledeal.decide import CROWD, FIRST_THRESHOLD, PART
@@ -82,7 +82,7 @@
 def test_the_first_seconds_at_a_cold_fleet(start):
     """Over many agents: no cold backend is sent more than it bears, no exclusive work item runs twice, and
     an agent that was moved defers no more than one that starts from nothing."""
-    work, deferred, taken = Counter(), Counter(), 0
+    work, deferred, taken = Counter(), 0, 0
     for me in range(120):
         drive = learned(me) if start == "moved" else Drive([], seed=me, balancers=300)
         listings = [Listing(f"n{n}", zone=n % 2, started=drive.now if n < 8 else 0) for n in range(40)]
@@ -92,7 +92,7 @@
         while drive.now < until:
             acts = drive.take(1)  # exclusive
             taken += 1
-            deferred[start] += len(answers(acts))
+            deferred += len(answers(acts))
             for ho in hand_offs(acts):
                 work[ho.backend] += 1
                 # Lost on its way: it may have run, and must not go out again nor be deferred.
@@ -100,7 +100,7 @@
                 assert not hand_offs(again)
                 drive.now += SECOND // 3
             drive.now += SECOND // 20
-    assert deferred[start] < 0.1 * taken
+    assert deferred < 0.1 * taken
     cold = [work[f"n{n}"] for n in range(8)]
     usual = sum(work[f"n{n}"] for n in range(8, 40)) / 32
     # Three times the present capacity, three tenths of a warm one's, is what topples it.
@@ -118,40 +118,30 @@
     assert len(desk.owner.balancer.facts.parts[0]) <= PART
 
 
-def told(**changes):
-    file = json.loads(json.dumps(TOLD))
-    for path, value in changes.items():
-        inner = file["settings"]
-        *way, last = path.split("__")
-        for key in way:
-            inner = inner[int(key)] if key.isdigit() else inner.setdefault(key, {})
-        inner[last] = value
-    return json.dumps(file).encode()
-
-
 FAULTY = [
-    ("tariffs__connection", "dear"), ("tariffs__connection", -1), ("tariffs__connection", True),
-    ("tariffs__cross_zone", -0.5), ("me", -1), ("me", "three"), ("me", 1.5), ("weights", "heavy"),
+    ("tariffs.connection", "dear"), ("tariffs.connection", -1), ("tariffs.connection", True),
+    ("tariffs.cross_zone", -0.5), ("me", -1), ("me", "three"), ("me", 1.5), ("weights", "heavy"),
     ("payoff_by", "weight"), ("discovery", "shouted"), ("surplus_payoff", "none"),
-    ("categories__0__payoff", "much"), ("categories__0__overdue_payoff", -1),
+    ("categories.0.payoff", "much"), ("categories.0.overdue_payoff", -1),
 ]
 
 
 @pytest.mark.parametrize(("path", "value"), FAULTY)
 def test_settings_that_the_module_reads_are_checked(path, value):
-    key = "settings." + path.replace("__", ".")
+    key = "settings." + path
     with pytest.raises(Fault, match=key):
-        check(told(**{path: value}), {})
+        check(changed(key, value), {})
 
 
 def test_not_finite_is_no_number():
     with pytest.raises(Fault):
-        check(told(tariffs__connection=0.5).replace(b"0.5", b"1e999"), {})
+        check(changed("settings.tariffs.connection", 0.5).replace(b"0.5", b"1e999"), {})
 
 
 def test_settings_left_out_leave_an_agent_as_it_was():
-    plain = check(told(), {})
-    assert successor(plain, check(told(me=3, weights="live", tariffs__connection=0.03), {})) is None
+    plain = check(json.dumps(TOLD).encode(), {})
+    more = changed("settings.me", 3, ("settings.weights", "live"), ("settings.tariffs.connection", 0.03))
+    assert successor(plain, check(more, {})) is None
     drive = Drive([Listing(f"b{n}") for n in range(30)])
     assert drive.balancer.facts.parts[0] == drive.balancer.facts.near
 
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -4,6 +4,7 @@
 
 import pytest
 from helpers import SECOND, Drive, fleet, hand_offs
+from test_decisions import spread
 
 from nettledeal.decide import PART
 from nettledeal.model import Life, Listing, Outcome
@@ -11,22 +12,13 @@
 FLEET = fleet([0] * 30 + [1] * 30)
 
 
-def used(drive, count=80, **fields):
-    seen = Counter()
-    for _ in range(count):
-        for ho in hand_offs(drive.take(**fields)):
-            seen[ho.backend] += 1
-            drive.back(ho, after=500)
-    return seen
-
-
 def kept(**changes):
     return Drive(FLEET, balancers=300, tariffs__connection=0.03, **changes)
 
 
 @pytest.mark.parametrize(("price", "most"), [(0.03, PART), (0.0, 30)])
 def test_a_part_is_kept_to_where_connections_cost(price, most):
-    seen = used(Drive(FLEET, balancers=300, tariffs__connection=price), 200)
+    seen = spread(Drive(FLEET, balancers=300, tariffs__connection=price), 200, after=500)
     assert len(seen) <= most
     assert price or len(seen) > PART
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -29,13 +29,14 @@
 }
 
 
-def changed(path, value):
+def changed(path, value, *more):
     told = json.loads(json.dumps(TOLD))
-    *way, last = path.split(".")
-    inner = told
-    for key in way:
-        inner = inner[int(key)] if key.isdigit() else inner[key]
-    inner[last] = value
+    for at, what in ((path, value), *more):
+        *way, last = at.split(".")
+        inner = told
+        for key in way:
+            inner = inner[int(key)] if key.isdigit() else inner.setdefault(key, {})
+        inner[last] = what
     return json.dumps(told).encode()
 
 
