A clock moved by hand in its test: the verdict no longer hangs on how long a look takes

Cause: Clock._wake holds what lasted over GLANCE (50 us) for a rest. On a busy machine the process is put off between the two looks of the loop (now - came was 1 where 400 and more are asked), so the test's verdict hung on wall time. Ruled out: the order of the two watchers, which the new test holds as well, and the clock's own jumps (monotonic).

Change: the test gives the clock a time of its own, and a table covers the bound on both sides. What it costs in service: a request put off so is held to be younger by half of the time the agent was at work, as before; not changed.

--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -1,5 +1,3 @@
-import time
-
 import gevent
 import pytest
 from gevent import socket
@@ -7,7 +5,7 @@
 from helpers import SECOND, Far, replies, served, until
 
 from nettledeal.model import Outcome
-from nettledeal.net.clock import Clock
+from nettledeal.net.clock import GLANCE, Clock
 from nettledeal.net.counters import Counters
 from nettledeal.net.transport import pools as pools_module
 from nettledeal.net.transport.budget import Budget, shares
@@ -130,18 +128,53 @@
         assert ways.send().took >= 300
 
 
-def test_what_came_while_the_agent_was_at_work_is_older_than_it_looks():
+class Hands:
+    """A clock's time, moved by hand: how long a loop takes for a look hangs on the machine."""
+
+    def __init__(self, at=0):
+        self.at = at
+
+    def monotonic_ns(self):
+        return self.at
+
+    time_ns = monotonic_ns
+
+
+@pytest.mark.parametrize(
+    ("looked", "resting", "woke", "came"),
+    [
+        (0, 100_000_000, 100_000_000, 500),  # found at once: anywhere while the agent was at work
+        (0, 100_000_000, 100_000_000 + GLANCE, 501),
+        (0, 100_000_000, 101_000_000, 1010),  # it rested, and woke for this
+        (90_000_000, 90_000_000, 101_000_000, 1010),
+    ],
+)
+def test_what_was_found_at_a_look_came_before_it_and_what_woke_the_agent_came_then(
+    monkeypatch, looked, resting, woke, came
+):
+    hands = Hands()
+    monkeypatch.setattr("nettledeal.net.clock.time", hands)
+    clock = Clock()
+    clock.looked, hands.at = looked, resting
+    clock._rest()
+    hands.at = woke
+    clock._wake()
+    assert clock.came() == came
+
+
+def test_what_came_while_the_agent_was_at_work_is_older_than_it_looks(monkeypatch):
+    hands = Hands()
+    monkeypatch.setattr("nettledeal.net.clock.time", hands)
     clock, seen = Clock(), []
     clock.attend()
     near, far = socket.socketpair()
     gevent.spawn(lambda: (far.recv(1), seen.append((clock.came(), clock.now()))))
     gevent.sleep(0.001)
     near.sendall(b"x")
-    time.sleep(0.1)  # the loop stands still
+    hands.at += 100_000_000  # the loop stands still
     assert until(lambda: seen)
-    came, now = seen[0]
     # By half of the time, as it may have come anywhere within.
-    assert now - came >= 400
+    assert seen == [(500, 1000)]
 
 
 def test_silence_is_a_time_out_and_ends_the_connection():
