--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -643,15 +643,15 @@
 
     def _draw(self, p: Passage, choices: list[Backend], weights: list[float], bears: list[float]) -> bool:
         """Where an equal share of a cold backend's budget is under one work item, it is taken by chance: as a
-        part of own work items. If all agents keep to that, unseen and busy ones too, their sum does."""
+        part of own work items. If all agents of its zone keep to that, unseen ones too, their sum does."""
         total, clipped = sum(weights), []
         for n, b in enumerate(choices):
             if bears[n] < 1.0 and self.soundness.budget(b, p.now) < self.facts.expected(p.wi.category):
                 group = len(self.facts.far if p.offload else self.facts.near)
                 drawn = 1.0 if b in self.facts.recent else len(choices) / max(len(choices), group)
                 if b in p.favoured:
-                    drawn = max(1.0 / self.facts.running, b.pull)  # a draw that is its own by a key
-                most = 0.7 * self.soundness.factor * bears[n] / (self.facts.running * drawn)
+                    drawn = max(1.0 / group, b.pull)  # a draw that is its own by a key
+                most = 0.7 * self.soundness.factor * bears[n] / (group * drawn)
                 weights[n] = min(weights[n], most * total)
                 clipped.append(n)
         rest = total - sum(weights)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -184,13 +184,16 @@
     assert usual[8000] < 3 * start
 
 
+@pytest.mark.parametrize("away", [0, 40])
 @pytest.mark.parametrize(("age", "least", "most"), [(2, 0.2, 0.9), (7, 0.5, 1.3)])
-def test_a_cold_backend_gets_work_by_what_it_bears(age, least, most):
-    """Warm ones that an agent knows well must not starve a cold one, nor may its own small budget."""
+def test_a_cold_backend_gets_work_by_what_it_bears(age, least, most, away):
+    """Warm ones that an agent knows well must not starve a cold one, nor may its own small budget. Agents of
+    other zones send next to nothing there, so that their backends are no part of what shares it."""
     warm, cold = Counter(), 0
     for seed in range(60):
         now = 100_000
         listings = [*(Listing(f"w{n}") for n in range(7)), Listing("c", started=now - age * SECOND)]
+        listings += [Listing(f"a{n}", zone=1) for n in range(away)]
         drive = Drive(listings, seed=seed, balancers=300, now=now)
         for n in range(7):
             drive.balancer.probed(now, f"w{n}", Outcome.FINISHED, 3, {"outstanding": 0})
