--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -422,8 +422,7 @@
     def capacity(self, backend: Backend, now: Time) -> float:
         if not self.facts.cold(backend, now):
             return 1.0
-        age = max(0, now - backend.started) / self.facts.warm_within
-        return self.cold_from + (1 - self.cold_from) * age
+        return self.cold_from + (1 - self.cold_from) * max(0, now - backend.started) / self.facts.warm_within
 
     def allows(self, wi: WorkItem, backend: Backend, now: Time) -> bool:
         if not backend.runs:
@@ -627,8 +626,10 @@
             used = [ho.backend for ho in p.wi.sent]
             choices = [b for b in choices if b not in used] or choices
         p.ask = self._stale(p, choices)
-        # A cold one gets work in proportion to what it bears: by the power of the draw it would get none.
-        bears = [self.soundness.capacity(b, p.now) for b in choices]
+        # A cold one by what it bears, or by the power of the draw it would get none; by somewhat more than the
+        # least that the rules allow for, where it has answered sooner than that.
+        able = self.soundness.capacity
+        bears = [min(1.0, able(b, p.now) * exp(max(0.0, min(0.3, -b.pace)))) for b in choices]
         views = [log(self.view(b, p.now) * bears[n]) for n, b in enumerate(choices)]
         mean = sum(views) / len(views)
         weights = [
@@ -651,8 +652,7 @@
                 drawn = 1.0 if b in self.facts.recent else len(choices) / max(len(choices), group)
                 if b in p.favoured:
                     drawn = max(1.0 / group, b.pull)  # a draw that is its own by a key
-                most = 0.7 * self.soundness.factor * bears[n] / (group * drawn)
-                weights[n] = min(weights[n], most * total)
+                weights[n] = min(weights[n], total * 0.7 * self.soundness.factor * bears[n] / (group * drawn))
                 clipped.append(n)
         rest = total - sum(weights)
         others = sum(w for n, w in enumerate(weights) if n not in clipped)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -267,3 +267,19 @@
     drive.balancer.facts.open, drive.balancer.facts.mean_open = out, 0.3
     drive.balancer.facts.open_at = drive.now
     assert bool(hand_offs(drive.take())) == sent
+
+
+@pytest.mark.parametrize(("sooner", "more"), [(0.2, 1.22), (5.0, 1.35)])
+def test_a_cold_backend_that_answers_sooner_than_assumed_bears_more_to_some_degree(sooner, more):
+    """Others look much worse, so that it gets all of its share: seven tenths of the push at what it bears."""
+    sent, now, turns = 0, 100_000, 1500
+    listings = [*fleet([0] * 7), Listing("c", started=now - 4 * SECOND)]
+    drive = Drive(listings, balancers=300, now=now)
+    for b in drive.balancer.facts.backends.values():
+        b.pace, b.paced_at = (-sooner if b.id == "c" else 2.0), now
+    for _ in range(turns):
+        for ho in hand_offs(drive.take()):
+            sent += ho.backend == "c"
+            drive.back(ho, Outcome.RECALLED, after=0, closed=True)
+    told = drive.balancer.soundness.capacity(drive.balancer.facts.backends["c"], now)
+    assert sent / turns == pytest.approx(0.7 * 3.0 * more * told / 8, rel=0.08)
