--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -626,8 +626,8 @@
             used = [ho.backend for ho in p.wi.sent]
             choices = [b for b in choices if b not in used] or choices
         p.ask = self._stale(p, choices)
-        # A cold one by what it bears, or by the power of the draw it would get none; by somewhat more than the
-        # least that the rules allow for, where it has answered sooner than that.
+        # A cold one by what it bears, or by the power of the draw it would get none; by somewhat more than
+        # the least that the rules allow for, where it has answered sooner than that.
         able = self.soundness.capacity
         bears = [min(1.0, able(b, p.now) * exp(max(0.0, min(0.3, -b.pace)))) for b in choices]
         views = [log(self.view(b, p.now) * bears[n]) for n, b in enumerate(choices)]
