--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -120,7 +120,7 @@
         self.tune(settings)
 
     def tune(self, settings: Mapping) -> None:
-        self.settings = settings
+        self.settings, self.get = settings, settings.get
         self.warm_keys = bool(self.get("family_info.warm_keys", False))
         # Where open connections cost, an agent keeps to a part of the fleet, by its own order, and looks
         # at all of that; elsewhere a sample has those heard from last.
@@ -132,6 +132,10 @@
         self.may_copy = bool(self.get("allowed.may_duplicate", False))
         self.may_recall = bool(self.get("allowed.cancelling", False))
         self.may_probe = bool(self.get("allowed.probes", False))
+        # Probes are paid from a purse that fills with every work item, by what a probe costs.
+        # What only counts waiting work reads 0 at a busy backend: not worth the price.
+        self.asks_first = self.may_probe and "outstanding" in str(self.get("feedback.fields", ""))
+        self.probe_gain = min(5.0, PROBE_SPEND / max(1e-6, float(self.get("tariffs.probe", 0.0))))
         self.by_work = self.get("payoff_by", "request") == "work"
         old = {category.name: category for category in self.categories}
         found = [self._category(n) for n in range(self.get("categories.count", 0))]
@@ -147,9 +151,6 @@
         """Those that cannot be seen, each of as many processes as this one."""
         return self.processes * self.fleet
 
-    def get(self, name: str, default):
-        return self.settings.get(name, default)
-
     def count_open(self, now: Time, change: int = 0) -> None:
         old = exp(-(now - self.open_at) / (1.5 * SECOND))
         self.mean_open = old * self.mean_open + (1 - old) * self.open
@@ -543,10 +544,6 @@
     def __init__(self, facts: Facts, soundness: Soundness):
         self.facts = facts
         self.soundness = soundness
-        # Probes are paid from a purse that fills with every work item, by what a probe costs.
-        # What only counts waiting work reads 0 at a busy backend: not worth the price.
-        self.asks_first = facts.may_probe and "outstanding" in str(facts.get("feedback.fields", ""))
-        self.probe_gain = min(5.0, PROBE_SPEND / max(1e-6, float(facts.get("tariffs.probe", 0.0))))
         self.probes = 0.0
         self.views: dict[BackendId, float] = {}  # of this passage
         self.counted = 1.0  # how often a report that comes with an answer still counts that one
@@ -665,7 +662,7 @@
 
     def _stale(self, p: Passage, choices: list[Backend]) -> list[Backend]:
         """Backends to ask before the draw: an agent with a trickle of traffic remembers only old queues."""
-        if p.wi.asked or p.wi.sent or not self.asks_first or len(choices) < 2:
+        if p.wi.asked or p.wi.sent or not self.facts.asks_first or len(choices) < 2:
             return []
         expected = self.facts.expected(p.wi.category)
         if self.probe_took.faded(p.now, 2 * SECOND) > 0.05 * expected:
@@ -756,9 +753,6 @@
         self.threshold = FIRST_THRESHOLD
         self.worth = 0.0  # the usual worth of a work item
         self.learned_at = 0
-        # The threshold stands still where the share of late answers times what lateness costs meets the
-        # price of a crossing: one work item too many makes several behind it late.
-        self.price = min(0.5, max(0.01, 0.3 * float(facts.get("tariffs.cross_zone", 0.0))))
 
     def out(self, p: Passage) -> bool:
         home = [b for b in p.choices if b.listing.zone == self.facts.home]
@@ -800,7 +794,10 @@
         if late:
             self.threshold = max(0.25, self.threshold * 0.9**step)
         elif r.outcome is Outcome.FINISHED:
-            rise = step * self.price / (1 - self.price)
+            # The threshold stands still where the share of late answers times what lateness costs meets the
+            # price of a crossing: one work item too many makes several behind it late.
+            price = min(0.5, max(0.01, 0.3 * float(self.facts.get("tariffs.cross_zone", 0.0))))
+            rise = step * price / (1 - price)
             self.threshold = min(FIRST_THRESHOLD, self.threshold * 0.9**-rise)
 
 
@@ -899,7 +896,7 @@
         if key is not None and self.facts.warm_keys:
             self.keys.taken(key)
         self.copies = min(5.0, self.copies + 0.03)
-        self.memory.probes = min(10.0, self.memory.probes + self.memory.probe_gain / self.facts.processes)
+        self.memory.probes = min(10.0, self.memory.probes + self.facts.probe_gain / self.facts.processes)
         self._route(wi, now)
         return self._step(now)
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -11,7 +11,7 @@
 from nettledeal.configuration import Fault, check, successor
 from nettledeal.decide import CROWD, FIRST_THRESHOLD, PART
 from nettledeal.inheritance import bequeath, inherit, renew, shape
-from nettledeal.model import Listing, Outcome
+from nettledeal.model import Listing, Outcome, Probe
 from nettledeal.net.protocol.backend import Reply
 
 MOVED = settings(
@@ -230,3 +230,32 @@
         for customer in (0, 1):
             kept[customer] += len(hand_offs(drive.take(0, customer=customer)))
     assert (kept[1] > kept[0] + 1) == spared
+
+
+@pytest.mark.parametrize(("dearer", "rises"), [(0.0, 1), (0.06, 2), (0.3, 9)])
+def test_a_dearer_crossing_counts_from_the_next_answer_on(dearer, rises):
+    """Read at the start alone, the price of the deployment before would set the threshold until a restart."""
+    risen = {}
+    for price in (0.0, dearer):
+        drive = Drive([Listing(f"b{n}") for n in range(3)], tariffs__cross_zone=0.0)
+        drive.balancer.retune(drive.now, dict(drive.balancer.facts.settings) | {"tariffs.cross_zone": price})
+        drive.balancer.zoning.threshold = 0.3
+        for ho in hand_offs(drive.take()):
+            drive.back(ho, after=50)
+        risen[price] = drive.balancer.zoning.threshold / 0.3 - 1.0
+    assert rises - 1 < risen[dearer] / risen[0.0] <= 1.2 * rises
+
+
+@pytest.mark.parametrize(
+    ("fields", "price", "asks"),
+    [("outstanding", 0.001, True), ("backlog", 0.001, False), ("outstanding", 1e9, False), ("", 0.001, False)],
+)
+def test_probes_go_by_the_fields_and_the_price_in_force(fields, price, asks):
+    drive = learned()
+    assert not drive.balancer.facts.asks_first
+    told = {"allowed.probes": True, "feedback.fields": fields, "tariffs.probe": price}
+    drive.balancer.retune(drive.now, dict(drive.balancer.facts.settings) | told)
+    drive.now += 20 * SECOND
+    drive.balancer.memory.probes = 0.0
+    probes = [act for _ in range(6) for act in drive.take() if isinstance(act, Probe)]
+    assert bool(probes) == asks
