--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -60,3 +60,33 @@
     (ho,) = hand_offs(drive.take(3))
     (second,) = hand_offs(drive.back(ho, Outcome.RESET, after=SECOND // 50))
     assert int(second.backend[1:]) // 4 == int(ho.backend[1:]) // 4
+
+
+@pytest.mark.parametrize("category", [0, 1, 2, 3], ids=["rerunnable", "exclusive", "ticketed", "in a cell"])
+def test_a_connect_refused_for_want_of_places_moves_on_and_opens_no_storm(category):
+    """Its backend answers on the connections that it has: what it takes no new one for never ran, goes to
+    another of the part, whatever its effect, and the backend is tried again within seconds."""
+    drive = kept(me=1, categories__3__group="cell", allowed__most_hand_offs=4)
+    part = {b.id for group in drive.balancer.facts.parts for b in group}
+    full = drive.balancer.facts.parts[0][0].id
+    used, refused, moved = Counter(), 0, 0
+    for turn in range(60):
+        waiting = hand_offs(drive.take(category))
+        while waiting:
+            ho = waiting.pop()
+            used[ho.backend] += 1
+            if ho.backend == full and turn < 40 and turn % 2:
+                refused += 1
+                again = hand_offs(drive.back(ho, Outcome.UNREACHABLE, after=10))
+                assert all(other.backend != full for other in again)
+                moved += len(again)
+                waiting += again
+            else:
+                drive.back(ho)
+        drive.now += SECOND // 4
+        if turn == 40:
+            drive.now += 6 * SECOND
+            before = used[full]
+    assert 0 < refused == moved
+    assert set(used) <= part
+    assert used[full] > before
