The test of the switch says nothing of deferrals: how many there are hangs on the machine's pace

Cause: in one of some twenty runs of all tests the moved agent deferred 25 of 120 and the fresh one none, as one slow moment cut the limit (four clients, room for five). The comparison stands in the module's own test, where no clock but the test's moves.

--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -1,7 +1,8 @@
 """An agent's first seconds in a deployment of another shape: a process of its own, against stand-ins here.
 
 A stand-in has a number of places for connections; one over it is told so with every request, and closed. It
-loses the answer of some work items, as a backend that dies under them does."""
+loses the answer of some work items, as a backend that dies under them does. How much is deferred hangs on the
+machine's pace as well: that it is no more than from nothing is tested in the module (`test_move.py`)."""
 
 import json
 import signal
@@ -123,12 +124,7 @@
     assert len(set(fleet.ran) - before) + moved[b"503"] == 120
     assert 120 - moved[b"200"] - moved[b"503"] == sum(int(id[1:]) % 10 == 7 for id in set(fleet.ran) - before)
     assert bool(fleet.refused) == (places == 1)
-    # It keeps to its part, and the cold one there gets no more than this one's share of half the push that
+    # It keeps to its part, one more while the cold one there bears nothing, and that one gets no more than this one's share of half the push that
     # topples it, with what a stand-in takes for a work item and a window that ends in between.
-    assert len(new) <= 3
+    assert len(new) <= 4
     assert sum(new[n] for n in range(6, 10)) <= 2 * 0.5 * 3.0 * 1.5 * 0.31 / 12 / 0.004
-    fresh_fleet = Fleet(places)
-    (tmp_path / "fresh").mkdir()
-    with agent(tmp_path / "fresh", fresh_fleet, NEW) as (_, place, _, _):
-        fresh = serve(place, 1000, 120)
-    assert moved[b"503"] <= fresh[b"503"] + 24
