--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -124,7 +124,7 @@
     assert len(set(fleet.ran) - before) + moved[b"503"] == 120
     assert 120 - moved[b"200"] - moved[b"503"] == sum(int(id[1:]) % 10 == 7 for id in set(fleet.ran) - before)
     assert bool(fleet.refused) == (places == 1)
-    # It keeps to its part, one more while the cold one there bears nothing, and that one gets no more than this one's share of half the push that
-    # topples it, with what a stand-in takes for a work item and a window that ends in between.
+    # It keeps to its part, one more while the cold one there bears nothing. That one gets no more than this
+    # agent's share of half the push, with what a stand-in takes for one and a window that ends between.
     assert len(new) <= 4
     assert sum(new[n] for n in range(6, 10)) <= 2 * 0.5 * 3.0 * 1.5 * 0.31 / 12 / 0.004
