Read once more: a share over those that share it, prices read with the settings, addresses written once

Memory._draw divided by the group times a part of the group: since the share counts against the group that is drawn from, that is the number of choices, all of which belong to it, and the bound on a part over one could never act. The price of a crossing was worked out anew at each answer; it belongs in Facts.tune, where SIGHUP sets it as before.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -136,6 +136,8 @@
         # What only counts waiting work reads 0 at a busy backend: not worth the price.
         self.asks_first = self.may_probe and "outstanding" in str(self.get("feedback.fields", ""))
         self.probe_gain = min(5.0, PROBE_SPEND / max(1e-6, float(self.get("tariffs.probe", 0.0))))
+        # What a crossing costs beside a late answer: one work item too many makes several behind it late.
+        self.crossing = min(0.5, max(0.01, 0.3 * float(self.get("tariffs.cross_zone", 0.0))))
         self.by_work = self.get("payoff_by", "request") == "work"
         old = {category.name: category for category in self.categories}
         found = [self._category(n) for n in range(self.get("categories.count", 0))]
@@ -645,11 +647,12 @@
         total, clipped = sum(weights), []
         for n, b in enumerate(choices):
             if bears[n] < 1.0 and self.soundness.budget(b, p.now) < self.facts.expected(p.wi.category):
+                # As many as share the work, by how often it is in the sample: recent ones always are.
                 group = len(self.facts.far if p.offload else self.facts.near)
-                drawn = 1.0 if b in self.facts.recent else len(choices) / max(len(choices), group)
+                over = group if b in self.facts.recent else len(choices)
                 if b in p.favoured:
-                    drawn = max(1.0 / group, b.pull)  # a draw that is its own by a key
-                weights[n] = min(weights[n], total * 0.7 * self.soundness.factor * bears[n] / (group * drawn))
+                    over = max(1.0, group * b.pull)  # a draw that is its own by a key
+                weights[n] = min(weights[n], total * 0.7 * self.soundness.factor * bears[n] / over)
                 clipped.append(n)
         rest = total - sum(weights)
         others = sum(w for n, w in enumerate(weights) if n not in clipped)
@@ -794,10 +797,8 @@
         if late:
             self.threshold = max(0.25, self.threshold * 0.9**step)
         elif r.outcome is Outcome.FINISHED:
-            # The threshold stands still where the share of late answers times what lateness costs meets the
-            # price of a crossing: one work item too many makes several behind it late.
-            price = min(0.5, max(0.01, 0.3 * float(self.facts.get("tariffs.cross_zone", 0.0))))
-            rise = step * price / (1 - price)
+            # It stands still where the share of late answers times what lateness costs meets that price.
+            rise = step * self.facts.crossing / (1 - self.facts.crossing)
             self.threshold = min(FIRST_THRESHOLD, self.threshold * 0.9**-rise)
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,6 +11,7 @@
 from helpers import Far, Peer, asked, free_place, replies, served, socket, until
 
 from nettledeal.configuration import Fault, address, check, read
+from nettledeal.net.address import written
 
 SRC = str(Path(__file__).parents[1] / "src")
 TOLD = {
@@ -114,11 +115,11 @@
 
 def test_a_door_that_cannot_be_opened_ends_the_start_and_an_open_one_takes_orders(tmp_path):
     far = Far(replies(served(b"from afar")))
-    entry = {"instanceId": "s1", "hostPort": ":".join(map(str, far.address)), "zone": "a"}
+    entry = {"instanceId": "s1", "hostPort": written(far.address), "zone": "a"}
     place, door = free_place(), free_place()
     told = {**TOLD, "known": {"generation": 1, "reset": True, "instances": [entry]},
-            "listen": ":".join(map(str, place)), "discovery": "127.0.0.1:1",
-            "admin_addr": ":".join(map(str, door))}
+            "listen": written(place), "discovery": "127.0.0.1:1",
+            "admin_addr": written(door)}
     agent = start(tmp_path, json.dumps(told).encode())
 
     def call(text):
@@ -161,10 +162,10 @@
 
     reached = []
     far = Far(script)
-    entry = {"instanceId": "s1", "hostPort": ":".join(map(str, far.address)), "zone": "a"}
+    entry = {"instanceId": "s1", "hostPort": written(far.address), "zone": "a"}
     told = {**TOLD, "known": {"generation": 1, "reset": True, "instances": [entry]}}
     place = free_place()
-    told |= {"listen": ":".join(map(str, place)), "discovery": "127.0.0.1:1"}
+    told |= {"listen": written(place), "discovery": "127.0.0.1:1"}
     agent = start(tmp_path, json.dumps(told).encode())
     try:
         assert "started" in agent.stderr.readline()
@@ -190,7 +191,7 @@
 
 def test_an_order_to_reload_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
     def entry(place):
-        return {"instanceId": "s1", "hostPort": ":".join(map(str, place)), "zone": "a"}
+        return {"instanceId": "s1", "hostPort": written(place), "zone": "a"}
 
     def discovery(far):
         whole = {"generation": 1, "reset": True, "instances": [entry(far.address)]}
@@ -199,7 +200,7 @@
     far = Far(replies(served(b"first")))
     lists = [discovery(far), discovery(Far(replies(served(b"second"))))]
     place = free_place()
-    told = {**TOLD, "listen": ":".join(map(str, place)), "discovery": ":".join(map(str, lists[0].address))}
+    told = {**TOLD, "listen": written(place), "discovery": written(lists[0].address)}
     agent = start(tmp_path, json.dumps(told).encode())
     # Blocked before anything else is done: an order that comes amid the start is kept.
     assert until(lambda: "SigBlk:\t0000000000000001" in Path(f"/proc/{agent.pid}/status").read_text(), 20)
@@ -216,7 +217,7 @@
         refused = agent.stderr.readline()
         assert "refused" in refused and "discovery: " in refused
         assert client.send(asked(b"r2")).hear().endswith(b"first")
-        told |= {"discovery": ":".join(map(str, lists[1].address))}
+        told |= {"discovery": written(lists[1].address)}
         told["limits"] = TOLD["limits"] | {"sockets": 128}
         file.write_text(json.dumps(told))
         for _ in range(3):
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -15,6 +15,7 @@
 from test_program import start
 
 from nettledeal.decide import mark_of
+from nettledeal.net.address import written
 
 FULL = served(status=b"503 Full", more=b"X-Not-Processed: 1\r\n")
 RULES = {"cold_from": 0.3, "warm_within": 60_000_000_000, "overload_factor": 3.0, "tip_after": 1_500_000_000}
@@ -66,7 +67,7 @@
     def known(self):
         now = int(gevent.get_hub().loop.now() * 1000)
         entries = [
-            {"instanceId": f"s{n}", "hostPort": ":".join(map(str, far.address)), "zone": "a",
+            {"instanceId": f"s{n}", "hostPort": written(far.address), "zone": "a",
              "startedAtMs": now if n >= 6 else 0}
             for n, far in enumerate(self.fars)
         ]
@@ -76,7 +77,7 @@
 @contextmanager
 def agent(tmp_path, fleet, settings):
     place = free_place()
-    told = {"name": "n1", "listen": ":".join(map(str, place)), "discovery": "127.0.0.1:1", "seed": "5",
+    told = {"name": "n1", "listen": written(place), "discovery": "127.0.0.1:1", "seed": "5",
             "log_level": "info", "known": fleet.known(), "settings": settings}
     process = start(tmp_path, json.dumps(told).encode())
     lines = []
