--- /dev/null
+++ b/src/nettledeal/cli.py
@@ -0,0 +1,164 @@
+"""The command line. Each subcommand loads what it needs when it is called, so that none pays for another.
+
+Exit status: 0 done, 1 done and found wanting (a rule broken, a run cut off), 2 not begun: a fault in what
+was asked, on one line that names the file and the key.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from nettledeal.configuration import Fault
+
+
+class Refusal(click.ClickException):
+    """What was asked cannot be begun; one line on standard error, exit status 2."""
+
+    exit_code = 2
+
+    def show(self, file=None) -> None:
+        click.echo(f"nettledeal: {self.format_message()}", err=True)
+
+
+def _refused(file: Path | None, fault: Exception) -> Refusal:
+    return Refusal(f"{file}: {fault}" if file else str(fault))
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]}, no_args_is_help=True)
+def cli() -> None:
+    """nettledeal, a client-side load balancer.
+
+    \b
+    nettledeal agent agent.json             one agent beside its caller
+    nettledeal check agent.json             is the file sound?
+    nettledeal fleet run first.toml         agents, stand-ins and clients at work, and what came of it
+    """
+
+
+@cli.command()
+@click.argument("file", type=click.Path(path_type=Path), required=False)
+def agent(file: Path | None) -> int:
+    """Run one agent by FILE, or by the one that EDGE_CONFIG names.
+
+    \b
+    nettledeal agent agent.json
+    """
+    if file is not None:
+        os.environ["EDGE_CONFIG"] = str(file)
+    from nettledeal import agent as program
+
+    return program.main()
+
+
+@cli.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Say it as one JSON object, for machines.")
+def check(file: Path, as_json: bool) -> int:
+    """Check an agent's configuration (JSON) or an experiment (TOML) without starting anything.
+
+    \b
+    nettledeal check agent.json
+    nettledeal check experiments/first.toml --json
+    """
+    from nettledeal import configuration
+
+    try:
+        if file.suffix == ".toml":
+            from nettledeal.fleet import experiment
+
+            experiment.read(file)
+        else:
+            configuration.read(os.environ | {"EDGE_CONFIG": str(file)})
+    except Fault as fault:
+        if not as_json:
+            raise _refused(file, fault) from None
+        _say({"file": str(file), "sound": False, "fault": str(fault)})
+        return 2
+    if as_json:
+        _say({"file": str(file), "sound": True})
+    else:
+        click.echo(f"{file}: sound")
+    return 0
+
+
+@cli.group()
+def fleet() -> None:
+    """Many agents as real processes, stand-ins for all that they meet, and faults between them."""
+
+
+@fleet.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), help="Folder to keep the result in.")
+@click.option("--beside", multiple=True, metavar="NAME=TREE", help="Play another version too, from its tree.")
+@click.option("--policies", help="Of the file's policies only these, by commas.")
+@click.option("--agents", type=click.IntRange(1), help="Another number of agents than the file says.")
+@click.option("--seed", type=int, help="Another seed than the file says.")
+@click.option("--json", "as_json", is_flag=True, help="Print the result as one JSON object.")
+def run(
+    file: Path, out: Path | None, beside: tuple[str, ...], policies: str | None, agents: int | None,
+    seed: int | None, as_json: bool,
+) -> int:
+    """Play the experiment FILE and say what came of it; exit status 1 where a rule was broken.
+
+    \b
+    nettledeal fleet run experiments/first.toml
+    nettledeal fleet run experiments/calm.toml --agents 200 --beside landed=../before/src --out results/calm
+    """
+    from nettledeal.fleet import experiment, play
+
+    try:
+        asked = experiment.read(file, agents=agents, seed=seed, policies=policies, beside=beside)
+    except Fault as fault:
+        raise _refused(file, fault) from None
+    try:
+        return play.play(asked, out, as_json)
+    except Fault as fault:
+        raise _refused(None, fault) from None
+
+
+@fleet.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--to", type=click.Path(path_type=Path), help="Another folder for the pictures.")
+def plot(folder: Path, to: Path | None) -> int:
+    """Draw what `fleet run --out FOLDER` has kept: answer times, and work by second with faults marked.
+
+    \b
+    nettledeal fleet plot results/calm
+    """
+    from nettledeal.fleet import plots
+
+    try:
+        for place in plots.draw(folder, to or folder):
+            click.echo(str(place))
+    except Fault as fault:
+        raise _refused(None, fault) from None
+    return 0
+
+
+def _say(found: dict) -> None:
+    import msgspec
+
+    click.echo(msgspec.json.encode(found).decode())
+
+
+def main() -> int:
+    """Entry of the console script; returns the exit status."""
+    try:
+        return cli.main(prog_name="nettledeal", standalone_mode=False) or 0
+    except click.exceptions.Abort:
+        click.echo("nettledeal: interrupted", err=True)
+        return 1
+    except Refusal as fault:
+        fault.show()
+        return fault.exit_code
+    except click.ClickException as fault:
+        click.echo(f"nettledeal: {fault.format_message()} (--help tells more)", err=True)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/nettledeal/configuration.py
+++ b/src/nettledeal/configuration.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from math import inf
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -18,6 +18,8 @@
 from nettledeal.net.address import Address, parsed
 from nettledeal.net.clock import SECOND
 
+T = TypeVar("T")
+
 
 class Fault(ValueError):
     """What is wrong with the configuration, on one line, with the key at fault."""
@@ -119,14 +121,21 @@
     return check(raw, environment)
 
 
-def check(raw: bytes, environment: Mapping[str, str]) -> Told:
+def decoded(raw: bytes, kind: type[T], form: str = "JSON") -> T:
+    """Of that kind, out of JSON or TOML.
+
+    Raises Fault naming the key that is none of its own, or has a value of another kind."""
     try:
-        file = msgspec.json.decode(raw, type=_File)
+        return (msgspec.json if form == "JSON" else msgspec.toml).decode(raw, type=kind)
     except msgspec.ValidationError as fault:
         what, _, where = str(fault).partition(" - at `$.")
         raise Fault(f"{where.rstrip('`') or 'the file'}: {what}") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as fault:
-        raise Fault(f"the file: no JSON: {fault}") from None
+        raise Fault(f"the file: no {form}: {fault}") from None
+
+
+def check(raw: bytes, environment: Mapping[str, str]) -> Told:
+    file = decoded(raw, _File)
     for key, least in (("memory_mb", 24), ("sockets", 32), ("longest_mb", 1)):
         if getattr(file.limits, key) < least:
             raise Fault(f"limits.{key}: {getattr(file.limits, key)} is too little, {least} is the least")
--- /dev/null
+++ b/src/nettledeal/fleet/play.py
@@ -0,0 +1,170 @@
+"""Plays an experiment, one policy after another on the same traffic and the same faults, and tells the
+outcome.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+from rich.table import Table
+
+from nettledeal.configuration import Fault
+from nettledeal.fleet import checker, measures, results
+from nettledeal.fleet.experiment import SECOND, Asked, Experiment
+from nettledeal.fleet.rig import GRACE_MS, SOURCE, Broken, Rig
+from nettledeal.fleet.traffic import asks
+
+COLUMNS = (
+    ("policy", "policy", "{}"), ("on time", "on_time", "{:.4f}"), ("p50 ms", "p50_ms", "{:.0f}"),
+    ("p99 ms", "p99_ms", "{:.0f}"), ("deferred", "deferred", "{:.4f}"), ("lost", "lost", "{:.4f}"),
+    ("spread", "spread", "{:.3f}"), ("/chance", "spread_to_chance", "{:.2f}"),
+    ("peak", "peak_held", "{:.0f}"), ("herd", "herd", "{:.0f}"), ("idle", "idle", "{:.0f}"),
+    ("rules", "rules", "{}"),
+)
+
+
+def play(asked: Asked, out: Path | None, as_json: bool) -> int:
+    """Exit status: 0, or 1 where a rule was broken or the run could not be ended as asked."""
+    experiment = asked.experiment
+    # A plain end would leave all that was started to the kernel; this way it is ended here, and said.
+    signal.signal(signal.SIGTERM, lambda *_: _interrupt())
+    console = Console(stderr=True)
+    traffic = asks(experiment)
+    found: list[dict[str, Any]] = []
+    files: dict[str, bytes] = {}
+    runs = [(name, asked.trees.get(name)) for name in (*experiment.policies, *asked.trees)]
+    with Progress(
+        TextColumn("{task.fields[policy]}"), BarColumn(), TextColumn("{task.description}"),
+        TimeElapsedColumn(), console=console, transient=True, disable=not console.is_terminal,
+    ) as bar:
+        task = bar.add_task("", total=1.0, policy="")
+        for policy, tree in dict.fromkeys(runs):
+            baseline = policy if policy != "agents" and tree is None else None
+
+            def progress(what: str, part: float, policy: str = policy) -> None:
+                bar.update(task, policy=policy, description=what, completed=part)
+
+            try:
+                with tempfile.TemporaryDirectory(prefix="nettledeal-fleet-") as folder:
+                    rig = Rig(experiment, baseline, tree or SOURCE, Path(folder), traffic, progress)
+                    try:
+                        records = rig.play()
+                    finally:
+                        kept = _logs(Path(folder)) if out is not None else {}
+                result = outcome(experiment, rig, records)
+            except (Broken, KeyboardInterrupt) as fault:
+                why = str(fault) or "interrupted"
+                print(f"nettledeal: {policy}: {why}; all that was started has ended", file=sys.stderr)
+                return 1
+            found.append({"policy": policy} | result)
+            files |= {f"{policy}.records": msgspec.msgpack.encode(records)}
+            files |= {f"{policy}.{name}": raw for name, raw in kept.items()}
+    whole = {"about": experiment.about, "experiment": msgspec.to_builtins(experiment), "runs": found}
+    if out is not None:
+        try:
+            results.write(out, whole, files)
+        except OSError as fault:
+            raise Fault(f"{out}: {fault.strerror}") from None
+    if as_json:
+        print(msgspec.json.encode(whole).decode())
+    else:
+        show(whole)
+    return 1 if any(run["broken"] for run in found if run["judged"]) else 0
+
+
+def _interrupt() -> None:
+    raise KeyboardInterrupt
+
+
+def _logs(folder: Path) -> dict[str, bytes]:
+    return {file.name: file.read_bytes() for file in sorted(folder.glob("*.log")) if file.stat().st_size}
+
+
+def outcome(experiment: Experiment, rig: Rig, records: dict[str, list]) -> dict[str, Any]:
+    """All figures of one run."""
+    start = rig.start_at
+    since, until = start + round(experiment.settle * SECOND), start + round(experiment.seconds * SECOND)
+    broken = checker.check(experiment, records, rig.harm, GRACE_MS * 10)
+    trails = checker.trails(records["backends"])
+    found = measures.holds(trails, since, until)
+    # Backends that were not replaced, crashed or cold: what is even among them is the balancer's doing.
+    spoiled = {n for _, n, _, what, _ in records["backends"] if what in ("died", "fell")} | rig.cold
+    capacity = experiment.backends.cores
+    fit = [
+        measures.Fit(n, rig.speed(n) * capacity)
+        for n in range(experiment.backends.count) if n not in spoiled
+    ]
+    among = [hold for hold in found if hold[2] not in spoiled]
+    spread, chance = measures.spread(among, fit)
+    peak, mean = measures.peak_held(found)
+    chance_peak, chance_herd = measures.by_chance(among, fit, experiment.seed)
+    after = round(experiment.idle_after * SECOND) or measures.idle_after(among, fit, until - since)
+    idle = measures.idle(among, fit, since, until, after)
+    served = measures.service(experiment, records["clients"], since, until)
+    waits = measures.first_work(rig.returned, trails)
+    probes = sum(1 for at, _, _, what, _ in records["backends"] if what == "probe" and since <= at < until)
+    return served | {
+        "lost": served["unanswered"] + served["failed"], "spread": spread, "spread_by_chance": chance,
+        "spread_to_chance": spread / chance if chance else 0.0, "peak_held": peak, "mean_held": mean,
+        "peak_by_chance": chance_peak, "herd": measures.herd(among), "herd_by_chance": chance_herd,
+        "idle": len(idle), "idle_after_ms": after / 10, "first_work_ms": {
+            name: wait and wait / 10 for name, wait in waits.items()
+        },
+        "probes_each": probes / max(1, served["asked"]),
+        "hand_offs_each": len(found) / max(1, served["asked"]),
+        "judged": rig.policy is None, "broken": {rule: lines for rule, lines in broken.items() if lines},
+        "rules": _rules(rig, broken), "marks": [((at - start) / 10, label) for at, label in rig.marks],
+        "histogram": _histogram(experiment, records["clients"], since, until),
+    }
+
+
+def _rules(rig: Rig, broken: dict[str, list[str]]) -> str:
+    count = sum(map(len, broken.values()))
+    if rig.policy is not None:
+        return "-"
+    return "kept" if not count else f"{count} broken"
+
+
+def _histogram(experiment: Experiment, clients: list, since: int, until: int) -> str:
+    """Answer times of what was answered well, in tenths of a millisecond, in the form that HDR tools read."""
+    longest = max(round(c.expiry_ms * 10) for c in experiment.category) * 2
+    histogram = HdrHistogram(1, max(2, longest), 3)
+    for _, _, _, due, _, answered, status, _ in clients:
+        if status == 200 and since <= due < until:
+            histogram.record_value(max(1, answered - due))
+    return histogram.encode().decode()
+
+
+def show(whole: dict[str, Any]) -> None:
+    """The table of a result, and each broken rule by its first findings."""
+    console = Console(width=140)
+    table = Table(title=whole["about"])
+    for title, _, _ in COLUMNS:
+        table.add_column(title, justify="right" if title != "policy" else "left")
+    for run in whole["runs"]:
+        table.add_row(*(form.format(run[key]) for _, key, form in COLUMNS))
+    console.print(table)
+    for run in whole["runs"]:
+        chance = (run["peak_by_chance"], run["herd_by_chance"], run["probes_each"], run["hand_offs_each"])
+        console.print(
+            "{}: by chance peak {:.1f}, herd {:.1f}; {:.2f} probes and {:.2f} hand-offs a work item".format(
+                run["policy"], *chance
+            ), highlight=False,
+        )
+        if run["client_late_p99_ms"] > 20:
+            console.print(
+                f"{run['policy']}: clients themselves were {run['client_late_p99_ms']:.0f} ms late (p99): "
+                "the machine was too busy for these figures", highlight=False,
+            )
+        if run["judged"]:
+            for rule, lines in run["broken"].items():
+                said = f"{run['policy']}: {rule}: {len(lines)}, as {'; '.join(lines[:3])}"
+                console.print(said, highlight=False)
