A share under one work item no longer defers a quiet agent's next while answers are quick

Seen on the rig (experiments/calm.toml, 200 agents, loopback): 0.12 to 0.22% deferred with half of the fleet free. A trace of each deferral: all nine by the limit on own hand-offs, never cut (slowdown 0.7 to 1.5), four of them since one work item that took over 1.5 s had filled the mean, five as a third was out by chance. Ruled out: deferrals as too late (none), cuts (none). At fault: the room in Admission.out.

While answers come as quick as usual (slowdown under 1.5, as for stragglers) three times the share may be out.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -317,8 +317,10 @@
         # Backends still cold, or distrusted, add only what they bear: half a fleet replaced is no fleet.
         worthy = sum(self.memory.worthy(b, p.now) for b in p.choices) / len(p.choices)
         room = (0.4 + 0.6 * rank) * self.limit * self.facts.running * worthy
-        # With hundreds of agents a share is a fraction of one work item: it is then taken by time, or the one
-        # that each may always have would add up to several times the whole. Two at once are out by chance.
+        # With hundreds of agents a share is a fraction of one work item: taken by time, or the one that each
+        # may have would be several times the whole. Two at once are out by chance; and while answers come as
+        # quick as usual one long work item is no crowd, or a quiet agent would defer the next.
+        room *= 3.0 if self.slowdown < 1.5 else 1.0
         self.facts.count_open(p.now)
         if self.facts.open > 2 and self.facts.open >= room or room < 2.0 and self.facts.mean_open >= room:
             return False
@@ -390,10 +392,8 @@
         if wi.open and not self.facts.may_copy:
             return False
         effect = wi.category.effect
-        if effect is Effect.RERUNNABLE:
-            return True
         maybe = [ho for ho in wi.sent if ho.outcome is None or not ho.outcome.ran_not]
-        if not maybe:
+        if effect is Effect.RERUNNABLE or not maybe:
             return True
         if effect is Effect.EXCLUSIVE or now >= maybe[0].at + wi.category.window:
             return False
