What is given up ends with a reset: nothing of it arrives once a silent link is up again

Cause: an agent that gives up closes, and the kernel sends what has not arrived again until it does, then the end; the stand-in gets a work item whole that has long been answered. At fault: close in Line.break_off and at the end of a time-out in Line._carry.

Both end with a reset now, which drops what has not arrived. A test of both ways, which the old code fails.

--- a/src/nettledeal/fleet/switch.py
+++ b/src/nettledeal/fleet/switch.py
@@ -45,12 +45,14 @@
                 while self.size > MOST:
                     gevent.sleep(0.01)
         except OSError:
+            # A reset: what the sender's kernel would still have sent again is dropped with it.
+            self.waiting = deque(entry for entry in self.waiting if entry[0] is not None)
             self.broken.set()
 
     def write(self) -> None:
         try:
             while True:
-                if not self.waiting:
+                while not self.waiting:
                     self.stirred.clear()
                     self.stirred.wait()
                 at, data = self.waiting[0]
--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -20,7 +20,7 @@
 from nettledeal.net.transport.budget import Budget
 from nettledeal.net.transport.buffers import Full, Inbox, Stock
 from nettledeal.net.transport.relay import STALLED, Relay, Upload
-from nettledeal.net.transport.sockets import opened, peek, send_all, smooth, wait_for
+from nettledeal.net.transport.sockets import abandon, opened, peek, send_all, smooth, wait_for
 
 # The least patience for a connection to come up: the agent itself may be late by as much.
 QUICK = SECOND * 3 // 100
@@ -79,7 +79,7 @@
         if self.errand is None:
             self.called.set()
         elif self.sock is not None:
-            self.sock.close()  # ends whatever the greenlet waits for with an OSError
+            abandon(self.sock)  # ends whatever the greenlet waits for with an OSError
 
     def run(self) -> None:
         try:
@@ -158,6 +158,8 @@
                 timer = gevent.Timeout.start_new(max(0, errand.give_up_at - self.pool.clock.now()) / SECOND)
             used = self._hear(answer, errand.probe)
         except gevent.Timeout:
+            if self.sock is not None:
+                abandon(self.sock)
             return Reply(Outcome.OVERDUE if errand.written else Outcome.UNREACHABLE), False
         except OSError:
             return self._broken(errand), False
--- a/src/nettledeal/net/transport/sockets.py
+++ b/src/nettledeal/net/transport/sockets.py
@@ -5,6 +5,7 @@
 import struct
 from array import array
 from collections.abc import Sequence
+from contextlib import suppress
 
 from gevent import get_hub, socket
 from gevent.event import Event
@@ -70,6 +71,15 @@
             left[0] = left[0][sent:]
 
 
+def abandon(sock: socket.socket) -> None:
+    """Ends a connection with a reset, so that the kernel drops what has been written and has not arrived.
+    After an end in order it would send that again until it arrives, once a link that was down is up: work
+    begun for nobody, or beside its second copy."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 def wait_for(event: Event, sock: socket.socket, seconds: float | None) -> None:
     """Until the event is set, the socket has something to read or the time is over."""
     watcher = get_hub().loop.io(sock.fileno(), 1)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -390,3 +390,25 @@
     whole = within.clients.most + within.backends.most
     assert whole <= sockets
     assert whole * 12 * 1024 + within.requests.most + within.answers.most <= (memory - 20) * 1024 * 1024
+
+
+@pytest.mark.parametrize("dropped", [False, True])
+def test_what_is_given_up_ends_with_a_reset_so_that_nothing_of_it_arrives_later(dropped):
+    """With an end in order the kernel would go on sending what a dead link has swallowed."""
+    seen = []
+
+    def script(peer):
+        peer.hear()
+        try:
+            seen.append(peer.sock.recv(10))
+        except OSError as fault:
+            seen.append(type(fault))
+
+    ways = Ways(Far(script).address)
+    errand, back = ways.start(wait=5 * SECOND if dropped else 300)
+    assert until(lambda: errand.written)
+    if dropped:
+        errand.drop()
+    assert until(lambda: back and seen)
+    assert back[0].outcome is (Outcome.RECALLED if dropped else Outcome.OVERDUE)
+    assert seen == [ConnectionResetError]
