--- a/src/nettledeal/fleet/checker.py
+++ b/src/nettledeal/fleet/checker.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from itertools import chain
 
 from nettledeal.fleet.experiment import Experiment
 from nettledeal.model import Time
@@ -44,22 +45,23 @@
 
 def trails(records: Sequence[Sequence]) -> dict[str, Trail]:
     found: dict[str, Trail] = defaultdict(Trail)
-    held: dict[str, dict[str, Stay]] = defaultdict(dict)  # by backend's name, by work item
+    stay_of_none = Stay(-1, "", 0)  # for what is told of a stay that has ended
+    # By backend's name, by work item: more than one where a repeat came before the end of the first was seen.
+    held: dict[str, dict[str, list[Stay]]] = defaultdict(lambda: defaultdict(list))
     for at, backend, name, what, id in records:
         if what == CAME:
             stay = Stay(backend, name, at)
             found[id].stays.append(stay)
-            held[name][id] = stay
+            held[name][id].append(stay)
         elif what == "full":
             found[id].turned_away.append((at, name))
         elif what == "began" and id in held[name]:
-            held[name][id].began = True
+            next((stay for stay in held[name][id] if not stay.began), stay_of_none).began = True
         elif what in ENDS and id in held[name]:
-            stay = held[name][id]
-            if stay.ended is None:
-                stay.ended = at
+            stay = next((stay for stay in held[name][id] if stay.ended is None), stay_of_none)
+            stay.ended = at
         elif what == "died":
-            for stay in held.pop(name, {}).values():
+            for stay in chain.from_iterable(held.pop(name, {}).values()):
                 stay.ended = stay.ended or at
     return found
 
--- a/src/nettledeal/fleet/play.py
+++ b/src/nettledeal/fleet/play.py
@@ -11,7 +11,9 @@
 from pathlib import Path
 from typing import Any
 
+import gevent
 import msgspec
+from gevent.event import Event
 from hdrh.histogram import HdrHistogram
 from rich.console import Console
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
@@ -35,8 +37,10 @@
 def play(asked: Asked, out: Path | None, as_json: bool) -> int:
     """Exit status: 0, or 1 where a rule was broken or the run could not be ended as asked."""
     experiment = asked.experiment
-    # A plain end would leave all that was started to the kernel; this way it is ended here, and said.
-    signal.signal(signal.SIGTERM, lambda *_: _interrupt())
+    # Noticed between two steps: an exception at any point could lose a process that has just been started.
+    stopped = Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, stopped.set)
     console = Console(stderr=True)
     traffic = asks(experiment)
     found: list[dict[str, Any]] = []
@@ -51,6 +55,8 @@
             baseline = policy if policy != "agents" and tree is None else None
 
             def progress(what: str, part: float, policy: str = policy) -> None:
+                if stopped.is_set():
+                    raise Broken("interrupted")
                 bar.update(task, policy=policy, description=what, completed=part)
 
             try:
@@ -61,9 +67,8 @@
                     finally:
                         kept = _logs(Path(folder)) if out is not None else {}
                 result = outcome(experiment, rig, records)
-            except (Broken, KeyboardInterrupt) as fault:
-                why = str(fault) or "interrupted"
-                print(f"nettledeal: {policy}: {why}; all that was started has ended", file=sys.stderr)
+            except Broken as fault:
+                print(f"nettledeal: {policy}: {fault}; all that was started has ended", file=sys.stderr)
                 return 1
             found.append({"policy": policy} | result)
             files |= {f"{policy}.records": msgspec.msgpack.encode(records)}
@@ -87,10 +92,6 @@
     return "/dev/shm" if "TMPDIR" not in os.environ and os.access("/dev/shm", os.W_OK) else None
 
 
-def _interrupt() -> None:
-    raise KeyboardInterrupt
-
-
 def _logs(folder: Path) -> dict[str, bytes]:
     return {file.name: file.read_bytes() for file in sorted(folder.glob("*.log")) if file.stat().st_size}
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -93,3 +94,43 @@
     assert "all that was started has ended" in err
     assert not out.exists() and not list((tmp_path / "tmp").iterdir())
     assert mine(tmp_path / "tmp") == []
+
+
+LIGHT = PLAIN.replace("seconds = 4.0", "seconds = 3.0").replace("rate = 30.0", "rate = 200.0").replace(
+    '"\n[[category]]', '"\nwork_ms = 8.0\n[[category]]'
+).replace('"unsafe"', '"unsafe"\nwork_ms = 8.0')
+COLD = "processes = 2\ncold = 0.5\ncold_from = 0.1\nwarm_within = 200.0\npush = 1.5\npush_for = 0.6"
+# A build that breaks each rule (the file, a line of it, what stands there instead), and what brings it out.
+BUILDS = {
+    "one answer": (
+        "net/routing/owner.py", "slot.by = at + wait\n", "slot.by = at + wait + 30_000\n",
+        LIGHT + '[[fault]]\nkind = "hang"\nat = 0.5\nshare = 0.5\n',
+    ),
+    "no effect twice": (
+        "words.py", '"unsafe": "exclusive"', '"unsafe": "rerunnable"',
+        LIGHT + '[[fault]]\nkind = "lost"\nat = 0.2\nchance = 0.5\n',
+    ),
+    "drains kept": (
+        "net/protocol/catalogue.py", '"draining": Life.DRAINING', '"draining": Life.RUNNING',
+        LIGHT + '[[fault]]\nkind = "replace"\nat = 0.8\ncount = 2\n',
+    ),
+    "no cold backend pushed over": (
+        "decide.py", "return b.started > 0 and", "return False and", LIGHT.replace("processes = 2", COLD),
+    ),
+}
+
+
+@pytest.mark.parametrize("rule", BUILDS)
+def test_the_checker_finds_the_rule_that_a_broken_build_breaks_and_none_in_ours(tmp_path, rule):
+    file, old, new, day = BUILDS[rule]
+    tree = tmp_path / "broken"
+    shutil.copytree(ROOT / "src" / "nettledeal", tree / "nettledeal")
+    text = (tree / "nettledeal" / file).read_text()
+    assert text.count(old) == 1
+    (tree / "nettledeal" / file).write_text(text.replace(old, new))
+    run = fleet(tmp_path, day, "--json", "--beside", f"broken={tree}")
+    out, err = run.communicate(timeout=100)
+    assert run.returncode == 1, err
+    sound, broken = json.loads(out)["runs"]
+    assert sound["rules"] == "kept", sound["broken"]
+    assert list(broken["broken"]) == [rule]
