--- a/src/nettledeal/cli.py
+++ b/src/nettledeal/cli.py
@@ -97,10 +97,11 @@
 @click.option("--policies", help="Of the file's policies only these, by commas.")
 @click.option("--agents", type=click.IntRange(1), help="Another number of agents than the file says.")
 @click.option("--seed", type=int, help="Another seed than the file says.")
+@click.option("--runs", type=click.IntRange(1, 100), default=1, help="So many seeds, from that one on.")
 @click.option("--json", "as_json", is_flag=True, help="Print the result as one JSON object.")
 def run(
     file: Path, out: Path | None, beside: tuple[str, ...], policies: str | None, agents: int | None,
-    seed: int | None, as_json: bool,
+    seed: int | None, runs: int, as_json: bool,
 ) -> int:
     """Play the experiment FILE and say what came of it; exit status 1 where a rule was broken.
 
@@ -115,7 +116,7 @@
     except Fault as fault:
         raise _refused(file, fault) from None
     try:
-        return play.play(asked, out, as_json)
+        return play.play(asked, out, as_json, runs)
     except Fault as fault:
         raise _refused(None, fault) from None
 
--- a/src/nettledeal/fleet/backends.py
+++ b/src/nettledeal/fleet/backends.py
@@ -175,6 +175,8 @@
                 server.extra_lag = round(figure * 10_000)
             case "false_reports":
                 server.false = figure
+            case "chill":
+                server.started = now()
             case "crash":
                 self.crash()
             case "return":
--- a/src/nettledeal/fleet/play.py
+++ b/src/nettledeal/fleet/play.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from statistics import median
 from typing import Any
 
 import gevent
@@ -34,24 +35,25 @@
 )
 
 
-def play(asked: Asked, out: Path | None, as_json: bool) -> int:
-    """Exit status: 0, or 1 where a rule was broken or the run could not be ended as asked."""
-    experiment = asked.experiment
+def play(asked: Asked, out: Path | None, as_json: bool, count: int = 1) -> int:
+    """Plays `count` seeds. Exit status: 0, or 1 where a rule was broken or a run was cut off."""
     # Noticed between two steps: an exception at any point could lose a process that has just been started.
     stopped = Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         gevent.signal_handler(number, stopped.set)
     console = Console(stderr=True)
-    traffic = asks(experiment)
     found: list[dict[str, Any]] = []
     files: dict[str, bytes] = {}
-    runs = [(name, asked.trees.get(name)) for name in (*experiment.policies, *asked.trees)]
+    first = asked.experiment.seed
+    days = [msgspec.structs.replace(asked.experiment, seed=first + n) for n in range(count)]
+    names = dict.fromkeys((*asked.experiment.policies, *asked.trees))
     with Progress(
         TextColumn("{task.fields[policy]}"), BarColumn(), TextColumn("{task.description}"),
         TimeElapsedColumn(), console=console, transient=True, disable=not console.is_terminal,
     ) as bar:
         task = bar.add_task("", total=1.0, policy="")
-        for policy, tree in dict.fromkeys(runs):
+        for experiment, policy in ((day, name) for day in days for name in names):
+            tree, traffic = asked.trees.get(policy), asks(experiment)
             baseline = policy if policy != "agents" and tree is None else None
 
             def progress(what: str, part: float, policy: str = policy) -> None:
@@ -70,10 +72,12 @@
             except Broken as fault:
                 print(f"nettledeal: {policy}: {fault}; all that was started has ended", file=sys.stderr)
                 return 1
-            found.append({"policy": policy} | result)
-            files |= {f"{policy}.records": msgspec.msgpack.encode(records)}
-            files |= {f"{policy}.{name}": raw for name, raw in kept.items()}
-    whole = {"about": experiment.about, "experiment": msgspec.to_builtins(experiment), "runs": found}
+            found.append({"policy": policy, "seed": experiment.seed} | result)
+            mark = policy if experiment.seed == first else f"{policy}.{experiment.seed}"
+            files |= {f"{mark}.records": msgspec.msgpack.encode(records)}
+            files |= {f"{mark}.{name}": raw for name, raw in kept.items()}
+    told = msgspec.to_builtins(asked.experiment)
+    whole = {"about": asked.experiment.about, "experiment": told, "runs": found}
     if out is not None:
         try:
             results.write(out, whole, files)
@@ -151,15 +155,34 @@
     return histogram.encode().decode()
 
 
+def _values(runs: list[dict], key: str) -> list:
+    return [run[key] for run in runs]
+
+
+def _middle(runs: list[dict], key: str) -> Any:
+    """The median over seeds; of words the worst."""
+    values = _values(runs, key)
+    return max(values, key=len) if isinstance(values[0], str) else median(values)
+
+
 def show(whole: dict[str, Any]) -> None:
     """The table of a result, and each broken rule by its first findings."""
     console = Console(width=140)
     table = Table(title=whole["about"])
     for title, _, _ in COLUMNS:
         table.add_column(title, justify="right" if title != "policy" else "left")
+    groups: dict[str, list[dict]] = {}
     for run in whole["runs"]:
-        table.add_row(*(form.format(run[key]) for _, key, form in COLUMNS))
+        groups.setdefault(run["policy"], []).append(run)
+    for runs in groups.values():
+        table.add_row(*(form.format(_middle(runs, key)) for _, key, form in COLUMNS))
     console.print(table)
+    for policy, runs in groups.items() if len(whole["runs"]) > len(groups) else ():
+        ranges = "; ".join(
+            f"{title} {form.format(min(_values(runs, key)))} to {form.format(max(_values(runs, key)))}"
+            for title, key, form in COLUMNS if isinstance(runs[0][key], float)
+        )
+        console.print(f"{policy}, {len(runs)} seeds: {ranges}", highlight=False)
     for run in whole["runs"]:
         chance = (run["peak_by_chance"], run["herd_by_chance"], run["probes_each"], run["hand_offs_each"])
         console.print(
--- a/src/nettledeal/fleet/plots.py
+++ b/src/nettledeal/fleet/plots.py
@@ -29,10 +29,16 @@
 
 def _times(whole: dict[str, Any], place: Path) -> Path:
     figure, axes = pyplot.subplots(figsize=(8, 4.5))
+    together: dict[str, HdrHistogram] = {}
     for run in whole["runs"]:
         histogram = HdrHistogram.decode(run["histogram"])
+        if run["policy"] in together:
+            together[run["policy"]].add(histogram)
+        else:
+            together[run["policy"]] = histogram
+    for policy, histogram in together.items():
         values = [histogram.get_value_at_percentile(part) / 10 for part in PARTS]
-        axes.plot([100 / (100 - part) for part in PARTS], values, marker=".", label=run["policy"])
+        axes.plot([100 / (100 - part) for part in PARTS], values, marker=".", label=policy)
     axes.set_xscale("log")
     axes.set_xticks([100 / (100 - part) for part in PARTS], [f"{part:g}" for part in PARTS])
     axes.set_xlabel("percentile of what was answered")
@@ -44,7 +50,7 @@
 
 def _load(whole: dict[str, Any], folder: Path, place: Path) -> Path:
     """The most and the mean held by a backend in each second, a row a policy."""
-    runs = whole["runs"]
+    runs = [run for run in whole["runs"] if run["seed"] == whole["experiment"]["seed"]]
     figure, rows = pyplot.subplots(len(runs), 1, figsize=(8, 2 * len(runs)), sharex=True, squeeze=False)
     count = whole["experiment"]["backends"]["count"]
     for (axes,), run in zip(rows, runs, strict=True):
--- a/src/nettledeal/fleet/rig.py
+++ b/src/nettledeal/fleet/rig.py
@@ -23,7 +23,7 @@
 import msgspec
 from gevent import socket, subprocess
 from gevent.event import Event
-from gevent.queue import Queue
+from gevent.queue import Empty, Queue
 
 from nettledeal.fleet.experiment import SECOND, Experiment
 from nettledeal.fleet.script import Act, Script, script
@@ -88,7 +88,10 @@
         return f": {lines[-1]}" if lines else ""
 
     def answer(self, seconds: float = 30.0) -> dict:
-        said = self.said.get(timeout=seconds)
+        try:
+            said = self.said.get(timeout=seconds)
+        except Empty:
+            raise Broken(f"{self.role} has not answered for {seconds:g} s") from None
         if "fault" in said:
             raise Broken(f"{self.role}: {said['fault']}")
         return said
@@ -142,6 +145,7 @@
         progress: Callable[[str, float], None],
     ):
         self.experiment, self.policy, self.tree, self.folder = experiment, policy, tree, folder
+        self.site = Site()
         self.asks, self.progress = asks, progress
         self.script: Script = script(experiment)
         self.helpers: dict[str, Helper] = {}
@@ -163,7 +167,6 @@
         """Records of all processes by their role. Raises Broken; all that was started has ended either way.
         """
         try:
-            self.site = Site()
             self._start_helpers()
             if self.policy is None:
                 self._start_agents()
@@ -341,6 +344,11 @@
         }
 
     def _run(self) -> None:
+        if self.cold:
+            # Cold from the start of traffic on, however long the agents took to start.
+            self._backends("chill", tuple(self.cold))
+            started = int(time.time() * 1000)
+            self._list([self._entry(n, "ready", started) for n in sorted(self.cold)])
         self.start_at = now() + SECOND // 2
         clients = [helper for role, helper in self.helpers.items() if role.startswith("clients")]
         for helper in clients:
--- a/src/nettledeal/fleet/switch.py
+++ b/src/nettledeal/fleet/switch.py
@@ -13,7 +13,7 @@
 
 import gevent
 from gevent import socket
-from gevent.event import Event
+from gevent.event import AsyncResult, Event
 
 from nettledeal.fleet.links import Condition, Way
 from nettledeal.fleet.wires import Post, accepting, listening, now
@@ -26,8 +26,10 @@
 class Stream:
     """One direction of one connection, handed on in order and in time."""
 
-    def __init__(self, way: Way, source: socket.socket, sink: socket.socket, broken: Event):
-        self.way, self.source, self.sink, self.broken = way, source, sink, broken
+    def __init__(
+        self, way: Way, back: Way, source: socket.socket, sink: socket.socket, broken: AsyncResult
+    ):
+        self.way, self.back, self.source, self.sink, self.broken = way, back, source, sink, broken
         self.waiting: deque[tuple[int | None, bytes]] = deque()
         self.size = 0
         self.stirred = Event()
@@ -47,7 +49,7 @@
         except OSError:
             # A reset: what the sender's kernel would still have sent again is dropped with it.
             self.waiting = deque(entry for entry in self.waiting if entry[0] is not None)
-            self.broken.set()
+            self.broken.set(self.way)
 
     def write(self) -> None:
         try:
@@ -72,7 +74,7 @@
                     return
                 self.sink.sendall(data)
         except OSError:
-            self.broken.set()
+            self.broken.set(self.back)
 
 
 class Front:
@@ -107,21 +109,20 @@
             self.taking = gevent.spawn(accepting, self.sock, self._carry)
 
     def _carry(self, near: socket.socket, _: tuple) -> None:
-        broken = Event()
+        broken = AsyncResult()  # by which way the word of it has to go
+        there, back = self.ways[THERE], self.ways[BACK]
         far = socket.socket()
         far.setsockopt(socket.SOL_TCP, socket.TCP_NODELAY, 1)
         try:
             # The connection itself comes up, as the switch accepted it: what follows goes by the link.
             far.connect(self.target)
-            streams = [
-                Stream(self.ways[THERE], near, far, broken), Stream(self.ways[BACK], far, near, broken)
-            ]
+            streams = [Stream(there, back, near, far, broken), Stream(back, there, far, near, broken)]
             readers = [gevent.spawn(stream.read) for stream in streams]
             writers = [gevent.spawn(stream.write) for stream in streams]
-            gevent.spawn(lambda: (gevent.joinall(writers), broken.set()))
-            broken.wait()
+            gevent.spawn(lambda: (gevent.joinall(writers), broken.set(None)))
+            way = broken.get()
             # A break is news too, and a dead link carries none.
-            while any(way.condition.stopped for way in self.ways.values()):
+            while way is not None and way.condition.stopped:
                 gevent.sleep(0.05)
             gevent.killall(readers + writers, block=False)
         except OSError:
