--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -392,8 +392,9 @@
         if wi.open and not self.facts.may_copy:
             return False
         effect = wi.category.effect
-        maybe = [ho for ho in wi.sent if ho.outcome is None or not ho.outcome.ran_not]
-        if effect is Effect.RERUNNABLE or not maybe:
+        if effect is Effect.RERUNNABLE or not (
+            maybe := [ho for ho in wi.sent if ho.outcome is None or not ho.outcome.ran_not]
+        ):
             return True
         if effect is Effect.EXCLUSIVE or now >= maybe[0].at + wi.category.window:
             return False
--- a/src/nettledeal/fleet/backends.py
+++ b/src/nettledeal/fleet/backends.py
@@ -17,8 +17,8 @@
 
 from nettledeal.fleet.http import Heard, requests, written
 from nettledeal.fleet.server import FULL, Server
-from nettledeal.fleet.wires import Post, accepting, listening, now
-from nettledeal.net.transport.sockets import wait_for
+from nettledeal.fleet.wires import Post, accepting, now
+from nettledeal.net.transport.sockets import abandon, bound, wait_for
 
 TURNED_AWAY = written("503 Full", more="X-Not-Processed: 1\r\n")
 
@@ -45,7 +45,7 @@
         )
 
     def _listen(self) -> None:
-        self.sock = listening(self.place)
+        self.sock = bound(self.place)
         gevent.spawn(accepting, self.sock, self._serve)
 
     def _note(self, what: str, id: bytes = b"") -> None:
@@ -57,9 +57,7 @@
             self.sock.close()
             self.sock = None
         for peer in list(self.peers):
-            # An end with what was unread is a reset, as a dead process leaves it.
-            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-            peer.close()
+            abandon(peer)  # a reset, as a dead process leaves it
         self.peers.clear()
         self._note("died")
         self.life += 1
--- a/src/nettledeal/fleet/clients.py
+++ b/src/nettledeal/fleet/clients.py
@@ -18,6 +18,7 @@
 from nettledeal.fleet.http import answer
 from nettledeal.fleet.wires import Post, now
 from nettledeal.net.protocol.reports import report
+from nettledeal.net.transport.sockets import smooth
 
 SLACK = 500  # a client reads on for a moment, as the rule on answers is judged with one
 
@@ -37,7 +38,7 @@
             sock.settimeout(max(0.001, (by - now()) / 10_000))
             if fresh:
                 sock.connect(self.place)
-                sock.setsockopt(socket.SOL_TCP, socket.TCP_NODELAY, 1)
+                smooth(sock)
             sock.sendall(message)
         except OSError:
             sock.close()
--- a/src/nettledeal/fleet/rig.py
+++ b/src/nettledeal/fleet/rig.py
@@ -33,7 +33,7 @@
 
 SOURCE = Path(__file__).parents[2]
 PORT, LIST_PORT, DOOR_PORT = 7070, 8500, 7071
-BACKEND_PORT, FRONT_PORT = 9000, 9000  # fronts of way n stand n above
+BACKEND_PORT = 9000  # fronts of way n stand n above
 READY_WITHIN = 60.0
 DRAIN_FOR = 1.5  # seconds a backend drains before its successor takes its place
 GRACE_MS = 400
@@ -240,7 +240,7 @@
             helper.answer()
         if "switch" in self.helpers:
             self.helpers["switch"].ask(do="fronts", fronts=[
-                [way, n, [self.site.backend(n), FRONT_PORT + way], [self.site.backend(n), BACKEND_PORT]]
+                [way, n, [self.site.backend(n), BACKEND_PORT + way], [self.site.backend(n), BACKEND_PORT]]
                 for way in sorted(set(self.script.ways) - {0}) for n in range(b.count)
             ])
 
--- a/src/nettledeal/fleet/script.py
+++ b/src/nettledeal/fleet/script.py
@@ -91,22 +91,16 @@
         case "kill":
             acts = [Act(at, "kill", who, label=label)]
             return acts + ([Act(until, "start", who, label="start again")] if until else [])
-        case "restart":
+        case "restart" | "replace":
             # In a row until the time is over, or all at once.
             step = (until - at) / max(1, len(who)) if until else 0
             return [
-                Act(at + int(n * step), "restart", (agent,), label=label if not n else "")
-                for n, agent in enumerate(who)
+                Act(at + int(n * step), trouble.kind, (one,), label=label if not n else "")
+                for n, one in enumerate(who)
             ]
         case "crash":
             acts = [Act(at, "crash", who, label=label)]
             return acts + ([Act(until, "return", who, label="cold again")] if until else [])
-        case "replace":
-            step = (until - at) / max(1, len(who)) if until else 0
-            return [
-                Act(at + int(n * step), "replace", (backend,), label=label if not n else "")
-                for n, backend in enumerate(who)
-            ]
         case "touch":
             return [Act(at, "touch", who, label=label)]
         case "link":
--- a/src/nettledeal/fleet/switch.py
+++ b/src/nettledeal/fleet/switch.py
@@ -16,7 +16,8 @@
 from gevent.event import AsyncResult, Event
 
 from nettledeal.fleet.links import Condition, Way
-from nettledeal.fleet.wires import Post, accepting, listening, now
+from nettledeal.fleet.wires import Post, accepting, now
+from nettledeal.net.transport.sockets import bound, smooth
 
 # Bytes of one direction that may wait in the switch; more stay with the sender, as in a full buffer.
 MOST = 1 << 20
@@ -83,7 +84,7 @@
     def __init__(self, place: tuple[str, int], target: tuple[str, int], chance: Random):
         self.place, self.target = place, target
         self.ways = {THERE: Way(chance), BACK: Way(chance)}
-        self.sock = listening(place)
+        self.sock = bound(place)
         self.taking = gevent.spawn(accepting, self.sock, self._carry)
         self.plugs: list[socket.socket] = []
 
@@ -105,14 +106,14 @@
             for plug in self.plugs:
                 plug.close()
             self.plugs = []
-            self.sock.listen(2048)
+            self.sock.listen(1024)
             self.taking = gevent.spawn(accepting, self.sock, self._carry)
 
     def _carry(self, near: socket.socket, _: tuple) -> None:
         broken = AsyncResult()  # by which way the word of it has to go
         there, back = self.ways[THERE], self.ways[BACK]
         far = socket.socket()
-        far.setsockopt(socket.SOL_TCP, socket.TCP_NODELAY, 1)
+        smooth(far)
         try:
             # The connection itself comes up, as the switch accepted it: what follows goes by the link.
             far.connect(self.target)
--- a/src/nettledeal/fleet/wires.py
+++ b/src/nettledeal/fleet/wires.py
@@ -18,6 +18,7 @@
 from gevent.fileobject import FileObject
 
 from nettledeal.model import Time
+from nettledeal.net.transport.sockets import smooth
 
 
 def now() -> Time:
@@ -50,10 +51,6 @@
                 Path(told["file"]).write_bytes(msgspec.msgpack.encode(self.records))
                 self.say(ended=len(self.records))
                 os._exit(0)
-            if told["do"] == "drop records":
-                self.records.clear()
-                self.say(done=True)
-                continue
             try:
                 order(told)
             except Exception as fault:
@@ -63,14 +60,6 @@
                 self.say(done=True)
 
 
-def listening(place: tuple[str, int], backlog: int = 2048) -> socket.socket:
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(place)
-    sock.listen(backlog)
-    return sock
-
-
 def accepting(sock: socket.socket, serve: Callable[[socket.socket, tuple], None]) -> None:
     """A greenlet a connection, until the listener is closed. A full descriptor table is said and waited
     out.
@@ -84,5 +73,5 @@
             print(f"accept: {fault.strerror}", file=sys.stderr, flush=True)
             gevent.sleep(0.1)
             continue
-        peer.setsockopt(socket.SOL_TCP, socket.TCP_NODELAY, 1)
+        smooth(peer)
         gevent.spawn(serve, peer, address)
