A list call ends by one deadline: trickle, silence and a long Retry-After leave six seconds whole

Cause, read in watch.py and shown by a scripted list service: SILENCE was renewed by any byte (`sock.settimeout` per `recv`), so a line or a list that trickles passed for life for ever; a decline rested for up to 4 s x 1.5, and for 1.5 times any Retry-After; connect 1 s, silence 3 s and a rest added up. Ruled out: a list half read when its connection is reset (not applied, asked for from the version before), a former watch told after the next one (its news are dropped once the next has spoken).

Change: one deadline a call, moved on by whole lines only: the head within 1 s (every second failed call in a row 2.6 s, for a service that is slow), then 2.6 s from line to line; rests of 1 s at most after a loss and 2 s after a decline, spread over 1.25 to 2 s where a service asks for more. A call that hangs from before the return, a rest, one more and a rest stay within the 6 s after which a change counts as told.

--- a/src/nettledeal/net/transport/watch.py
+++ b/src/nettledeal/net/transport/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from random import Random
@@ -17,15 +18,23 @@
 from nettledeal.net.protocol.discovery import Declined
 from nettledeal.net.transport.sockets import opened, send_all, smooth
 
-# A line comes every two seconds. What is said while nobody listens counts as told a few seconds later,
-# so one that is overdue by half is not waited for.
-SILENCE = 3.0
-CONNECT = 1.0
+# What discovery has to tell counts as told six seconds after it had it and could be reached, whatever became
+# of the calls in between. So no call goes on for longer than the time that a watch may say nothing, and none
+# begins later than `LONGEST_REST` after the one before: one that hangs from before discovery came back, or a
+# watch that has fallen silent, leaves time for another call, and for a third if that one fails too.
+#
+# A line comes every two seconds, so one overdue by a third of that is not waited for. In seconds, as all.
+SILENCE = 2.6
+# From the start of a call to the head of its answer; every second one of a row that failed has all of
+# `SILENCE` for it, as a service may be slow and not gone.
+PROMPT = 1.0
 FIRST_PAUSE = 0.1
-LONGEST_PAUSE = 1.0
+LONGEST_PAUSE = 0.66
 # Turned away: callers that come back as often as after a loss would all be turned away again.
 FIRST_DECLINED = 0.25
-LONGEST_DECLINED = 4.0
+LONGEST_DECLINED = 2.0
+# Between two calls, and what is at least kept of it when a service asks for more: not all in one instant.
+LONGEST_REST, LEAST_REST = 2.0, 1.25
 
 log = structlog.get_logger()
 
@@ -43,10 +52,12 @@
     def next(self, declined: Declined | None) -> float:
         longest = LONGEST_PAUSE
         if declined is not None:
-            # Each of them halves its calls while they are too many, and comes when it is told to.
+            # Each of them halves its calls while they are too many, and comes when it is told to: but in time
+            # to hear of a change.
             longest = LONGEST_DECLINED
             self.pause = max(self.pause, FIRST_DECLINED, declined.come_back or 0.0)
-        pause = self.pause * (0.5 + self.chance.random())
+        least, most = min(0.5 * self.pause, LEAST_REST), min(1.5 * self.pause, LONGEST_REST)
+        pause = least + (most - least) * self.chance.random()
         self.pause = min(2 * self.pause, longest)
         return pause
 
@@ -70,6 +81,9 @@
         self.version = version
         self.stands = False  # the list has been heard, and not been lost since
         self.followed = False  # another one takes its place: once lost, it does not come back
+        self.failed = 0  # calls in a row that told nothing
+        self.began = 0.0  # the call, by the monotonic clock
+        self.by = 0.0  # by the same: when the call is given up unless it says something whole
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -87,6 +101,7 @@
                     self._fetch()
                 for line in self._watch():
                     self.pauses.heard()
+                    self.failed = 0
                     self.stands = True
                     if line:
                         self._read(line)
@@ -105,6 +120,7 @@
                 self.version = None
                 self.counters.fault("watch")
             self.stands = False
+            self.failed += 1
             self.lost(self)
             # Agents that lose the list together must not all come back in the same instant.
             gevent.sleep(self.pauses.next(declined))
@@ -130,27 +146,41 @@
         with self._open() as sock:
             send_all(sock, [discovery.watch(written(self.address), self.version or 0)])
             for told in self._hear(sock):
-                yield from told.lines()
+                if lines := told.lines():
+                    # Whole ones only: single bytes of one that never ends are no sign of life.
+                    self.by = time.monotonic() + SILENCE
+                yield from lines
 
     @contextmanager
     def _open(self) -> Iterator[socket.socket]:
+        self.began = time.monotonic()
+        patient = self.failed and self.failed % 2 == 0
+        self.by = self.began + (SILENCE if patient else PROMPT)
         with opened(self.address) as sock:
-            sock.settimeout(CONNECT)
+            sock.settimeout(self._left())
             sock.connect(self.address)
             smooth(sock)
-            sock.settimeout(SILENCE)
             yield sock
 
-    @staticmethod
-    def _hear(sock: socket.socket) -> Iterator[discovery.Told]:
+    def _left(self) -> float:
+        left = self.by - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("nothing whole in time")
+        return left
+
+    def _hear(self, sock: socket.socket) -> Iterator[discovery.Told]:
         """The answer, each time more of it has come."""
         told = discovery.Told()
         buffer = bytearray(16 * 1024)
         while not told.ended:
+            sock.settimeout(self._left())
             count = sock.recv_into(buffer)
             if not count:
                 return
+            headed = told.headed
             told.feed(memoryview(buffer)[:count])
+            if told.headed and not headed:
+                self.by = max(self.by, self.began + SILENCE)
             yield told
 
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -39,6 +39,7 @@
     return script
 
 
+SILENCE, PROMPT = watch_module.SILENCE, watch_module.PROMPT
 WHOLE = replies(served(line(3, "s1", "s2", whole=True)))
 
 
@@ -63,6 +64,7 @@
     monkeypatch.setattr(watch_module, "FIRST_PAUSE", 0.001)
     monkeypatch.setattr(watch_module, "FIRST_DECLINED", 0.001)
     monkeypatch.setattr(watch_module, "SILENCE", 0.2)
+    monkeypatch.setattr(watch_module, "PROMPT", 0.2)
 
 
 def test_the_whole_list_first_then_what_changes():
@@ -197,3 +199,86 @@
     assert until(lambda: follow.lost)
     gevent.sleep(0.02)
     assert len(follow.far.peers) == 2
+
+
+def trickles(peer):
+    """Bytes without end, never a whole line."""
+    peer.hear()
+    peer.send(CHUNKED)
+    while True:
+        peer.send(chunk(b" "))
+        gevent.sleep(0.002)
+
+
+def trickles_a_list(peer):
+    peer.hear()
+    peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n")
+    while True:
+        peer.send(b" ")
+        gevent.sleep(0.002)
+
+
+def hushed(peer):
+    peer.hear()
+    gevent.sleep(3600)
+
+
+def fails(peer):
+    peer.hear()
+    peer.sock.close()
+
+
+AWAY_FOR_LONG = replies(b"HTTP/1.1 503 Busy\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n")
+STANDING = says(CHUNKED + chunk(line(3, "s1", whole=True) + b"\n"))
+
+
+@pytest.mark.parametrize("version", [None, 2])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        (trickles,),
+        (trickles_a_list,),
+        (hushed,),
+        (AWAY_FOR_LONG,),
+        (fails, AWAY_FOR_LONG, hushed, trickles),
+        (says(CHUNKED + chunk(line(3, "s1") + b"\n"), chunk(b'{"generation":4')), trickles, AWAY_FOR_LONG),
+    ],
+)
+def test_whatever_call_failed_the_list_is_heard_soon_after_it_can_be(bad, version, monkeypatch):
+    # Everything a twentieth as long: each of these hung for a minute or for good, and six seconds are all.
+    for name in ("SILENCE", "PROMPT", "LONGEST_PAUSE", "LONGEST_DECLINED", "LONGEST_REST", "LEAST_REST"):
+        monkeypatch.setattr(watch_module, name, getattr(watch_module, name) / 20)
+    calls, answers = [], list(bad)
+
+    def service(peer):
+        # Back for good once each of the bad answers has been given.
+        calls.append(peer)
+        if answers:
+            answers.pop(0)(peer)
+        elif b"watch=1" in peer.hear():
+            peer.send(CHUNKED + chunk(line(9, "s9", whole=True) + b"\n"))
+            gevent.sleep(3600)
+        else:
+            peer.send(served(line(9, "s9", whole=True)))
+
+    follow = Follow(service, version=version)
+    assert until(lambda: any(news.generation == 9 for news in follow.news))
+    assert len(calls) <= len(bad) + 3, "and without a storm of calls"
+
+
+def test_time_for_two_calls_is_left_within_the_six_seconds():
+    pauses = [Pauses(Random(seed)) for seed in range(200)]
+    for failed in (None, Declined(503, None), Declined(503, 60.0)):
+        rests = [max(pause.next(failed) for pause in pauses) for _ in range(12)]
+        assert max(rests) <= watch_module.LONGEST_REST
+        longest = SILENCE if failed is None else 0.0
+        # A call that hung from before the return, a rest, one more that fails, a rest, the one that tells.
+        assert longest + max(rests) + (PROMPT if failed is None else 0.0) + max(rests) <= 6.0
+    # A watch that falls silent right before a change, then a call that hangs.
+    first = max(Pauses(Random(seed)).next(None) for seed in range(200))
+    assert SILENCE + first + PROMPT + 2 * first + PROMPT <= 6.0
+
+
+def test_agents_told_to_come_back_late_do_not_come_back_together():
+    rests = {Pauses(Random(seed)).next(Declined(503, 60.0)) for seed in range(200)}
+    assert len(rests) == 200 and max(rests) - min(rests) > 0.6
