A repeat is not sent after its group has ceased to drop repeats, however late its connection comes up

Cause: Repeats.allows looks at the window when a repeat is decided; Line._carry wrote it when its connection was up, and went by the deadline alone. With a window of half a second and a connection that came up behind it the effect happened twice (shown with real connections: two requests heard, the second past the window). Ruled out: the start of the window (counted from the decision on the first attempt, which is before its send).

Change: a hand-off tells by when it must have begun (`HandOff.begin_by`, from `Repeats.window`), and the last look before the first byte goes by it.

Tests: a repeat held at its connect until the window is over (two heard before, one now), a table of what a hand-off tells.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -259,9 +259,8 @@
     def may_defer(wi: WorkItem) -> bool:
         """A deferral says that retrying is harmless: so it must be, whatever has run by now."""
         effect = wi.category.effect
-        if effect is Effect.RERUNNABLE or effect is Effect.TICKETED and wi.category.group is Group.ALL:
-            return True
-        return all(ho.outcome is not None and ho.outcome.ran_not for ho in wi.sent)
+        dropped = effect is Effect.TICKETED and wi.category.group is Group.ALL
+        return effect is Effect.RERUNNABLE or dropped or not wi.doubtful
 
 
 class Admission:
@@ -389,18 +388,21 @@
     def __init__(self, facts: Facts):
         self.facts = facts
 
+    @staticmethod
+    def window(wi: WorkItem) -> Time | None:
+        """Where one may have run: up to when its group drops another, which sent later would run twice."""
+        if wi.category.effect is Effect.RERUNNABLE or not wi.doubtful:
+            return None
+        return wi.doubtful[0].at + (wi.category.window if wi.category.effect is Effect.TICKETED else 0)
+
     def allows(self, wi: WorkItem, backend: Backend, now: Time) -> bool:
         if wi.open and not self.facts.may_copy:
             return False
-        effect = wi.category.effect
-        if effect is Effect.RERUNNABLE or not (
-            maybe := [ho for ho in wi.sent if ho.outcome is None or not ho.outcome.ran_not]
-        ):
-            return True
-        if effect is Effect.EXCLUSIVE or now >= maybe[0].at + wi.category.window:
-            return False
+        window = self.window(wi)
+        if window is None or now >= window:
+            return window is None
         group, there = wi.category.group, backend.listing
-        for ho in maybe:
+        for ho in wi.doubtful:
             ran = ho.backend.listing
             if group is Group.ZONE and ran.zone != there.zone:
                 return False
@@ -414,8 +416,7 @@
 
     def __init__(self, facts: Facts):
         self.facts = facts
-        self.median = 0.0
-        self.median_at = -SECOND
+        self.median, self.median_at = 0.0, -SECOND
         self.judged: dict[BackendId, tuple[Backend, Time]] = {}  # of late, the oldest first
         self.tune()
 
@@ -509,8 +510,7 @@
     def __init__(self, facts: Facts):
         self.facts = facts
         self.counts: dict[str, float] = {}
-        self.total = 0.0
-        self.asked = 0
+        self.total, self.asked = 0.0, 0
 
     def taken(self, key: str) -> None:
         """Counts own work items by key, the old ones fading, so that a hot key is known as one."""
@@ -872,8 +872,7 @@
         self.keys = Keys(self.facts)
         self.stages = (self.ledger, self.admission, self.zoning, self.memory)
         self.alarms: list[tuple[Time, int, WorkItemId, int]] = []
-        self.alarm_count = 0
-        self.copies = 3.0
+        self.alarm_count, self.copies = 0, 3.0
         self.asking: dict[BackendId, list[WorkItemId]] = {}
         self.resolution = max(1, self.facts.get("resolution", 10))
         self.out: dict[tuple[WorkItemId, int], Sent] = {}
@@ -1135,7 +1134,7 @@
         expected = self.facts.expected(wi.category)
         ahead = self.memory.queue(backend, now)
         due_back = now + int((1 + ahead) * expected * self.memory.pace(backend, now)) + 1
-        others = self.memory.others(backend, now)
+        others, begin_by = self.memory.others(backend, now), self.repeats.window(wi)
         ho = Sent(len(wi.sent), backend, now, due_back, ahead, len(backend.own), others, p.offload)
         wi.sent.append(ho)
         self.out[(wi.id, ho.number)] = ho
@@ -1156,7 +1155,7 @@
         idle = wi.category.seen >= LEARNED and self.admission.slowdown < 1.5
         if again and idle and wi.due - now - patience > expected:
             time_out = min(time_out, patience)
-        self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out))
+        self.acts.append(HandOff(wi.id, ho.number, backend.id, time_out, begin_by))
 
     def _alarm(self, at: Time, wi: WorkItem, number: int) -> None:
         """Look again at hand-off `number`; at -1 for a work item kept for its probes."""
--- a/src/nettledeal/model.py
+++ b/src/nettledeal/model.py
@@ -81,6 +81,7 @@
     number: int
     backend: BackendId
     time_out: Time
+    begin_by: Time | None = None  # the moment from which it must not begin any more, where there is one
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/nettledeal/net/routing/owner.py
+++ b/src/nettledeal/net/routing/owner.py
@@ -377,6 +377,7 @@
             # Its expiry lies as far off as the slowest upload; its answer's wait runs from its last byte.
             time_out = max(1, held.slot.by - self.told - SLOWEST - 2 * WAY)
         errand = Errand(dialect.hand_off(parcel, time_out), self.told + act.time_out, done)
+        errand.begin_by = act.begin_by
         errand.bare = parcel.method == b"HEAD"
         errand.wanted = lambda: held.slot.wanted
         if parcel.upload is not None:
--- a/src/nettledeal/records.py
+++ b/src/nettledeal/records.py
@@ -58,6 +58,11 @@
     asked: bool = False
     streaming: bool = False
 
+    @property
+    def doubtful(self) -> list[Sent]:
+        """The attempts that have run, may have or may yet, the first one first."""
+        return [ho for ho in self.sent if ho.outcome is None or not ho.outcome.ran_not]
+
 
 @dataclass(slots=True, eq=False)
 class Backend:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -33,7 +33,8 @@
         )
         self.owner = Owner(
             Balancer(1, settings(), self.clock.now()), self.clock, self.counters, self.pools,
-            {"read": 0, "write": 1}, {}, {}, 100, probe_within=500, reports=False, subscribe=lambda: None,
+            {"read": 0, "write": 1, "ticket": 3}, {}, {}, 100, probe_within=500, reports=False,
+            subscribe=lambda: None,
         )
         names = [f"b{n}" for n in range(len(backends))]
         places = dict(zip(names, (far.address for far in backends), strict=True))
@@ -545,3 +546,26 @@
     assert until(lambda: begun)
     client.sock.close()
     assert until(lambda: agent.rests and not agent.pools.budget.held)
+
+
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_sent(monkeypatch):
+    backends = [Hears(served(status=b"500 Oops")) for _ in range(2)]
+    agent, up, sound = Agent(*backends), Event(), pools_module.Line._connect
+
+    def late(line):
+        if agent.counters["backend connections opened"]:
+            up.wait()
+        sound(line)
+
+    monkeypatch.setattr(pools_module.Line, "_connect", late)
+    client = agent.connect().send(ask(category=b"ticket"))
+    assert until(lambda: any(far.heard for far in backends))
+    heard = agent.clock.now()
+    for far in backends:
+        far.go.set()
+    # Decided within the half second in which repeats are dropped; nobody drops them when it could be written.
+    assert until(lambda: agent.clock.now() > heard + 5000)
+    up.set()
+    assert client.hear().startswith(b"HTTP/1.1 503 ")
+    assert sum(len(far.heard) for far in backends) == 1
+    assert agent.counters["repeats past their window before they were sent"] == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -47,6 +47,25 @@
     assert answers(drive.back(second, Outcome.ERROR, after=5000))[0].verdict is WRITTEN_OFF
 
 
+@pytest.mark.parametrize(
+    ("category", "outcome", "ends"),
+    [
+        (TICKET, Outcome.ERROR, True),
+        (ZONE_TICKET, Outcome.RESET, True),
+        # What has not run opens no window, and where repeats are harmless there is none.
+        (TICKET, Outcome.UNREACHABLE, False),
+        (RERUN, Outcome.ERROR, False),
+        (EXCLUSIVE, Outcome.FULL, False),
+    ],
+)
+def test_a_repeat_tells_by_when_it_must_have_begun(category, outcome, ends):
+    drive = Drive(fleet((0, 0)))
+    at = drive.now
+    (first,) = hand_offs(drive.take(category))
+    (second,) = hand_offs(drive.back(first, outcome, after=20))
+    assert (first.begin_by, second.begin_by) == (None, at + 5000 if ends else None)
+
+
 @pytest.mark.parametrize("life", [Life.DRAINING, Life.GONE])
 def test_nothing_to_a_backend_told_to_drain(life):
     drive = Drive(fleet((0, 0)))
