Where no report tells of queues, an answer ends the pin that a full backend has set

Cause: Memory.back pins the queue of a backend that was full and counts every send since; only Memory.read took the pin away, behind its `return` for reports without `outstanding` and `backlog`. And where such a backend was not drawn no answer came: the pin sharpened the draw (`_power`) as a reading does, for good. Ruled out: load (rough thirds of the fleet idle), the agent's lateness (handled within 0.7 ms), the floor of the limit.

Change: an answer ends the pin where no report tells of a queue, and a pin sharpens the draw only of a backend with readings. Decisions elsewhere do not change, as there reports tell of queues.

Test: 200 work items behind a full answer, with reports that say nothing of queues; the pin stayed for good before.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -267,8 +267,7 @@
     """Turns away at once what cannot earn its payoff, and least payoff for its work first."""
 
     def __init__(self, facts: Facts, memory: Memory):
-        self.facts = facts
-        self.memory = memory
+        self.facts, self.memory = facts, memory
         self.tune()
         # Own hand-offs out for each sound backend. Until answers say otherwise, an equal share of what
         # crowds a backend: all agents may start at once, each seeing idle backends.
@@ -546,8 +545,7 @@
     """Remembered queues, learned speeds, and the random choice that goes by them."""
 
     def __init__(self, facts: Facts, soundness: Soundness):
-        self.facts = facts
-        self.soundness = soundness
+        self.facts, self.soundness = facts, soundness
         self.probes = 0.0
         self.views: dict[BackendId, float] = {}  # of this passage
         self.counted = 1.0  # how often a report that comes with an answer still counts that one
@@ -589,7 +587,8 @@
     def _power(self, b: Backend, now: Time, took: float) -> float:
         """As sharp as the memory is fresh; reports that foretell nothing are none: all would crowd a few."""
         known = 0.0 if b.read_at is None else exp(-(now - b.read_at) / (KNOWN * took))
-        return BLUNT + (SHARPNESS - BLUNT) * (known if b.pinned is None else 1.0) * min(1.0, 2 * self.belief)
+        known = 1.0 if b.pinned is not None and b.read_at is not None else known
+        return BLUNT + (SHARPNESS - BLUNT) * known * min(1.0, 2 * self.belief)
 
     def _faded(self, b: Backend, now: Time) -> float:
         """What has been learned of a backend's speed fades to what its kind and its zone show, or one that
@@ -692,6 +691,8 @@
             # A count of what only waits reads 0 at a busy backend: own hand-offs come on top.
             others = report["backlog"]
         else:
+            # Where reports tell of no queue an answer does: a pin would never end, and grow with each send.
+            b.pinned = None if answered else b.pinned
             return
         if b.read_at is None:
             b.smoothed = others
@@ -753,11 +754,9 @@
     """The home test: home while the mean of the home backends' queues is under the threshold."""
 
     def __init__(self, facts: Facts, memory: Memory):
-        self.facts = facts
-        self.memory = memory
-        self.threshold = FIRST_THRESHOLD
+        self.facts, self.memory = facts, memory
+        self.threshold, self.learned_at = FIRST_THRESHOLD, 0
         self.worth = 0.0  # the usual worth of a work item
-        self.learned_at = 0
 
     def out(self, p: Passage) -> bool:
         home = [b for b in p.choices if b.listing.zone == self.facts.home]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -55,6 +55,21 @@
     assert memory.queue(backend, drive.now) < FIRST_THRESHOLD
 
 
+@pytest.mark.parametrize("report", [{}, {"utilization": 0.8, "throughput": 9.0}])
+def test_where_no_report_tells_of_queues_an_answer_ends_the_pin(report):
+    drive = Drive(fleet((0, 0)))
+    (ho,) = hand_offs(drive.take())
+    (second,) = hand_offs(drive.back(ho, Outcome.FULL, after=20))
+    backend, memory = drive.balancer.facts.backends[ho.backend], drive.balancer.memory
+    assert backend.pinned is not None
+    drive.back(second, report=report)
+    for _ in range(200):
+        (ho,) = hand_offs(drive.take())
+        drive.back(ho, report=report)
+    # It counted each of them as waiting there for good.
+    assert backend.pinned is None and memory.queue(backend, drive.now) == 0.0
+
+
 def test_smoothing_keeps_seven_tenths_of_history():
     drive = Drive(fleet((0,)))
     backend = drive.balancer.facts.backends["b0"]
