Where connections cost, an agent keeps to more backends the more work it has out

Cause: `Facts._part` keeps every agent to PART backends at home and half as many away, by its own order, whatever it sends: right for one of two hundred with a request a second, and a wall for one with several times the mean. Ruled out: the limit (it grew while the agent was deferring), the home test (home was over its threshold, and away had one).

Change: in `sample` the part is as long as what is out, now or on average, asks for: one backend at home for each three, one away for each six, PART at least. An agent of a large fleet has no three out, so nothing changes there.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -66,7 +66,8 @@
 PROBE_SPEND = 0.01
 # Backends looked at in one decision, at home and as many away: beyond a dozen, chance finds one as good.
 SAMPLE = 12
-# Backends at home that an agent keeps to where connections cost, half as many away: it must know each.
+# Backends at home that an agent keeps to where connections cost, half as many away: it must know each. More
+# with much work out (`sample`), or a busy agent would crowd its own beside others that have nothing to do.
 PART = 2
 # Categories kept that the settings name no more.
 DROPPED = 16
@@ -192,6 +193,8 @@
         """Some backends of home and of elsewhere: favoured, heard from last, and others by chance."""
         found = []
         for group, part, home in ((self.near, self.parts[0], True), (self.far, self.parts[1], False)):
+            if self.kept:  # who has much out needs more of them
+                part = group[: max(len(part), int(max(self.open, self.mean_open) / (3 if home else 6)))]
             some = [b for b in favoured if home and fits(b)]
             for b in self.recent:
                 here = (b.listing.zone == self.home) is home and self.backends.get(b.id) is b
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -6,7 +6,7 @@
 from helpers import SECOND, Drive, fleet, hand_offs
 from test_decisions import spread
 
-from nettledeal.decide import PART
+from nettledeal.decide import CROWD, PART
 from nettledeal.inheritance import recount
 from nettledeal.model import Life, Listing, Outcome
 
@@ -24,6 +24,24 @@
     assert price or len(seen) > PART
 
 
+@pytest.mark.parametrize(("rate", "few"), [(2, True), (100, False)])
+def test_who_has_much_out_keeps_to_more_of_them(rate, few):
+    """Each answer takes half a second: one work item out on average, and fifty."""
+    drive = Drive(fleet([0] * 12), balancers=3, tariffs__connection=0.05)
+    waiting, peaks, seen = [], Counter(), set()
+    for _ in range(6 * rate):
+        drive.now += SECOND // rate
+        while waiting and waiting[0][0] <= drive.now:
+            drive.back(waiting.pop(0)[1], after=0)
+        for ho in hand_offs(drive.take()):
+            waiting.append((drive.now + SECOND // 2, ho))
+            seen.add(ho.backend)
+        peaks.update({b.id: max(0, len(b.own) - peaks[b.id]) for b in drive.balancer.facts.near})
+    assert (len(seen) == PART) is few
+    # It had them crowd its two, and the rest deferred, beside ten that had nothing to do.
+    assert max(peaks.values()) <= 2 * CROWD
+
+
 def test_the_parts_of_many_agents_cover_the_fleet_evenly():
     held = Counter(b.id for me in range(200) for part in kept(me=me).balancer.facts.parts for b in part)
     assert len(held) == 60
