Where no report tells of queues, answers well before their due time no longer cut the limit

Cause: Admission.back bounds what answers may take by CROWD times the usual as well as by the due time; a crowd is a sign of queues where reports tell them, and beyond that says nothing where backends have several cores and work waits on others.

Change: for a backend of which no queue has been told, 0.45 of the due time is bearable, and a jam begins at 1.25 times that.

Test: a table of an answer five and nine times as long as usual, due after twelve times.

--- a/src/nettledeal/decide.py
+++ b/src/nettledeal/decide.py
@@ -109,11 +109,10 @@
         self.near: list[Backend] = []
         self.far: list[Backend] = []
         self.parts: tuple[list[Backend], list[Backend]] = [], []  # of these, what is looked at first
-        self.running = 0
         self.circle: list[tuple[int, Backend]] = []
         self.out: dict[BackendId, Time] = {}  # of service by an operator's call, since when
         self.owed: dict[BackendId, Time] = {}  # back in service, and when each is tried next
-        self.processes = 1  # that are one agent for a while
+        self.running, self.processes = 0, 1  # backends; and processes that are one agent for a while
         self.categories: list[Category] = []
         # A category out of range has unknown rights: it gets the strictest ones.
         self.unknown = Category(0, 0, 1.0, 1.0, Effect.EXCLUSIVE, Group.ALL, 0)
@@ -355,9 +354,12 @@
         # By the time gone by: what an agent with a trickle of answers learns must not come too late.
         since, self.learned_at = (r.now - self.learned_at) / SECOND, r.now
         self.slowdown += max(0.05, min(0.5, 0.15 * since)) * (sample - self.slowdown)
-        # A heavy work item may take most of its due time with nothing ahead: no backend is slow by that.
-        bearable = max(1.5, min(0.6 * CROWD, 0.6 * (category.due or CROWD * expected) / expected))
-        if self.slowdown > 0.75 * CROWD and r.ho.at >= self.cut_at:
+        # A heavy work item may take most of its due time with nothing ahead: no backend is slow by that; nor,
+        # where no report tells of queues, by answers that come well before they are due.
+        ample = (category.due or CROWD * expected) / expected
+        early = 0.45 * ample if b.read_at is None else 0.0
+        bearable = max(1.5, min(0.6 * CROWD, 0.6 * ample), early)
+        if self.slowdown > max(0.75 * CROWD, 1.25 * early) and r.ho.at >= self.cut_at:
             # A jam: halved once a round of answers, as those sent before the last cut say nothing of it.
             self.cut_at = r.now
             self._cut(0.5)
@@ -589,8 +591,8 @@
 
     def _power(self, b: Backend, now: Time, took: float) -> float:
         """As sharp as the memory is fresh; reports that foretell nothing are none: all would crowd a few."""
-        known = 0.0 if b.read_at is None else exp(-(now - b.read_at) / (KNOWN * took))
-        known = 1.0 if b.pinned is not None and b.read_at is not None else known
+        age = 0 if b.pinned is not None else now - (b.read_at or 0)
+        known = 0.0 if b.read_at is None else exp(-age / (KNOWN * took))
         return BLUNT + (SHARPNESS - BLUNT) * known * min(1.0, 2 * self.belief)
 
     def _faded(self, b: Backend, now: Time) -> float:
@@ -769,10 +771,8 @@
         if home and away:
             mean = self._mean(home, p.now)
             # An offload to peers no better off would only be declined, or wait longer there.
-            if mean < self._bearable(p.wi) or self._mean(away, p.now) >= mean:
-                away = []
-            else:
-                home = []
+            stays = mean < self._bearable(p.wi) or self._mean(away, p.now) >= mean
+            home, away = (home, []) if stays else ([], away)
         p.offload = not home
         p.choices = home or away
         return bool(p.choices)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -318,3 +318,16 @@
             drive.back(other, after=100, report={"outstanding": 1.0})
         drive.back(sent[0], Outcome.OVERDUE, after=5000)
     assert (admission.limit < before) is cut
+
+
+@pytest.mark.parametrize(("times", "cut"), [(5, False), (9, True)])
+def test_what_still_comes_well_before_its_due_time_cuts_no_limit(times, cut):
+    """Due in a second, a work item takes a twelfth of that alone; five times as long is no jam yet."""
+    drive = Drive(fleet((0, 0, 0)))
+    spread(drive, 40)
+    admission, took = drive.balancer.admission, drive.balancer.facts.categories[0].base
+    assert 11 < 10_000 / took < 14
+    limit, admission.slowdown = admission.limit, float(times)
+    (ho,) = hand_offs(drive.take())
+    drive.back(ho, after=int(times * took))
+    assert (admission.limit < limit) is cut
