The end cuts nothing off: orders wait for a start, clients in the queue are met, each connection ends by itself

Read in agent.py and listener.py, each shown with real processes or connections: - SIGTERM between the constructor, where the listener stands, and the handlers at the end of `run` ended the process by default, with clients in its accept queue. Now SIGTERM and SIGINT are kept from the first line on, as SIGHUP was. - `listener.close()` came with clients in the queue: all reset. `close` now meets them first, as the hand-over did by a loop of its own. - While a request was out the listener stood, and whoever came put off the end; the end of the process then cut off whoever was resting or had bytes on the way. Now nobody new is met after LINGER, and the process ends once no connection is left (within the same bound); each looks for bytes right before it closes. - An answer with `Connection: close` and more than a buffer of pipelined bytes behind its request ended with a reset, which may overtake it. One way to part, `Guest._part`, for that and for refusals. Ruled out: SIGHUP or a second SIGTERM during the end (handlers stand until the orders are blocked again), a reload that moves the watch meanwhile (touches neither clients nor backends).

Tests: five fail without it.

--- a/src/nettledeal/agent.py
+++ b/src/nettledeal/agent.py
@@ -5,9 +5,9 @@
 import signal
 
 if hasattr(signal, "pthread_sigmask"):
-    # Before all else is imported, which takes a while: an order to reload that comes before anybody can
-    # follow it would end the process. It is kept until then.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    # Before all else is imported, which takes a while: an order to reload or to end that comes before anybody
+    # can follow it would end the process at once, with clients waiting to be met. It is kept until then.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
 
 import gc
 import os
@@ -44,8 +44,10 @@
 
 log = structlog.get_logger()
 
-# Clients that have not heard of the end yet come for 0.4 s at most; what has just come after that is read.
-# Each tenth more is one in which nobody serves.
+# What an operator or a supervisor sends.
+ORDERS = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
+# Clients that have not heard of the end yet come for 0.4 s at most; those just met have a moment more
+# to ask. Each tenth more is one in which nobody serves.
 LINGER = 0.45
 LAST_CALL = 0.1
 # How often other processes of this agent are looked for, and how long one may take to confirm an order.
@@ -291,15 +293,15 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.stopping.set)
         gevent.signal_handler(signal.SIGHUP, self.called.set)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, ORDERS)
         # What lives from here on is not looked at again: a full collection would hold up all answers.
         gc.collect()
         gc.freeze()
         log.info("started", agent=self.told.name)
         self.stopping.wait()
         self._stop()
-        # Nobody is left to follow another order to reload; the end must not turn into a death by it.
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+        # Nobody is left to follow another order; the end must not turn into a death by it.
+        signal.pthread_sigmask(signal.SIG_BLOCK, ORDERS)
 
     def _stop(self) -> None:
         """Clients come for a while yet, and what has been taken is answered before the end."""
@@ -317,14 +319,16 @@
             self.listener.draining = True
             self.listener.close_idle()
             gevent.sleep(LINGER)
-            self.listener.close_idle()
-            gevent.sleep(LAST_CALL)
-        while self.owner.busy or self.listener.busy and self.clock.now() < end:
+            # Nobody new from here on, or those who still come would put off the end for ever.
+            self.listener.close()
+        while self.owner.busy or self.listener.guests and self.clock.now() < end:
             if self.owner.busy:
                 # A client may wait longer than its category does; its answer has yet to be written, too.
                 end = max(end, self.clock.now() + SECOND // 20)
+            # Each ends by itself, once it has looked whether something has come: what the end of the process
+            # cuts off is lost.
+            self.listener.close_idle(int(LAST_CALL * SECOND))
             gevent.sleep(0.01)
-        self.listener.close()
         if self.door is not None:
             self.door.close()
         if self.shelf is not None:
--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -123,6 +123,8 @@
             smooth(self.sock)
             while self._one():
                 pass
+            if self.served and peek(self.sock):
+                self._part()
         except (OSError, gevent.Timeout):
             self.listener.counters["client connections broken"] += 1
         finally:
@@ -341,8 +343,12 @@
         body = f"{fault}\n".encode("ascii", "replace")
         with gevent.Timeout(BEYOND / SECOND):
             send_all(self.sock, [answer(fault.status, len(body), keep=False), body])
-            # Closing with bytes unread would send a reset, and that could overtake the answer.
-            self.sock.shutdown(socket.SHUT_WR)
+        self._part()
+
+    def _part(self) -> None:
+        """Ends the connection behind an answer. Closing with bytes unread would send a reset, and that could
+        overtake it."""
+        self.sock.shutdown(socket.SHUT_WR)
         with gevent.Timeout(DRAINS, False):
             for _ in range(DRAINED):
                 if not self.sock.recv_into(_spill):
@@ -486,20 +492,20 @@
             self.close_idle(EMPTIED)
 
     def give_way(self, heirs: int) -> None:
-        """A successor listens at this address: new connections go there, and what waits here is taken to the
-        last one, since closing resets it."""
+        """A successor listens at this address: new connections go there."""
         self.draining = True
         if not steer(self.sock, heirs):
             self.counters["connections could not be steered"] += 1
         gevent.sleep(SETTLES)
-        while True:
+        self.close()
+
+    def close(self) -> None:
+        """No new clients: those that wait to be met are met first, since closing resets them."""
+        while not self.sock.closed:
             try:
                 # As `accept` does, but for the wait.
                 number, _ = self.sock._sock._accept()
             except OSError:
                 break
             self._welcome(socket.socket(self.sock.family, self.sock.type, self.sock.proto, fileno=number))
-        self.close()
-
-    def close(self) -> None:
         self.sock.close()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -320,3 +320,26 @@
     door.listener.resume()
     gevent.sleep(0.05)
     assert resting.send(asked(b"r2")).hear().endswith(b"hi")
+
+
+def test_clients_that_wait_to_be_met_are_met_before_the_listener_closes():
+    door = Door(most=64)
+    # Nobody accepts: they have sent their requests, and lie in the queue.
+    door.greenlet.kill()
+    clients = [door.connect().send(asked(b"r%d" % n)) for n in range(20)]
+    door.listener.draining = True
+    door.listener.close()
+    assert all(client.hear().endswith(b"hi") for client in clients)
+
+
+def test_an_end_behind_an_answer_is_no_reset_though_bytes_are_unread():
+    door = Door(hold=True)
+    client = door.connect().send(asked(b"r1"))
+    assert until(lambda: door.taken)
+    # More than is read along with the first: it lies in the kernel when the connection ends.
+    client.send(asked(b"r2", body=30_000 * b"x"))
+    door.listener.draining = True
+    door.taken[0][2].put(HTTPStatus.OK, b"one")
+    answer = client.hear()
+    assert b"Connection: close" in answer and answer.endswith(b"one")
+    assert client.hear() == b"" and len(door.taken) == 1
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -189,6 +189,60 @@
         agent.stderr.close()
 
 
+def blocked(agent):
+    """Before anything else is done hang-up, interrupt and termination are: what comes early is kept."""
+    assert until(lambda: "SigBlk:\t0000000000004003" in Path(f"/proc/{agent.pid}/status").read_text(), 20)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_an_order_to_end_amid_the_start_is_followed_once_it_can_be(tmp_path, number):
+    place = free_place()
+    told = {**TOLD, "listen": written(place), "discovery": "127.0.0.1:1"}
+    agent = start(tmp_path, json.dumps(told).encode())
+    try:
+        blocked(agent)
+        agent.send_signal(number)
+        assert "started" in agent.stderr.readline()
+        # Whoever came meanwhile is met before the end.
+        client = Peer(socket.create_connection(place)).send(b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n")
+        assert client.hear().startswith(b"HTTP/1.1 200 ")
+        assert agent.wait(timeout=20) == 0
+    finally:
+        agent.kill()
+        agent.stderr.close()
+
+
+def test_clients_that_go_on_coming_do_not_put_off_the_end(tmp_path):
+    told_to_end = Event()
+    far = Far(lambda peer: peer.hear() and told_to_end.wait() and peer.send(served(b"from afar")))
+    entry = {"instanceId": "s1", "hostPort": written(far.address), "zone": "a"}
+    place = free_place()
+    told = {**TOLD, "known": {"generation": 1, "reset": True, "instances": [entry]},
+            "listen": written(place), "discovery": "127.0.0.1:1"}
+    agent = start(tmp_path, json.dumps(told).encode())
+    try:
+        assert "started" in agent.stderr.readline()
+        slow = Peer(socket.create_connection(place)).send(asked(b"slow"))
+        assert until(lambda: far.peers)
+        agent.send_signal(signal.SIGTERM)
+
+        def refused():
+            # They are met while the end is not known everywhere, and then go to where they are served.
+            try:
+                socket.create_connection(place).close()
+            except ConnectionRefusedError:
+                return True
+            return False
+
+        assert until(refused)
+        told_to_end.set()
+        assert slow.hear().endswith(b"from afar")
+        assert agent.wait(timeout=20) == 0
+    finally:
+        agent.kill()
+        agent.stderr.close()
+
+
 def test_an_order_to_reload_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
     def entry(place):
         return {"instanceId": "s1", "hostPort": written(place), "zone": "a"}
@@ -202,8 +256,7 @@
     place = free_place()
     told = {**TOLD, "listen": written(place), "discovery": written(lists[0].address)}
     agent = start(tmp_path, json.dumps(told).encode())
-    # Blocked before anything else is done: an order that comes amid the start is kept.
-    assert until(lambda: "SigBlk:\t0000000000000001" in Path(f"/proc/{agent.pid}/status").read_text(), 20)
+    blocked(agent)
     agent.send_signal(signal.SIGHUP)
     try:
         assert "started" in agent.stderr.readline()
