A backend that answers twice gets no request written ahead of its second answer

Shown with a scripted backend: its second answer, some milliseconds behind the first, came after the next request had been written to the connection, and was served for that ("again r2" for r3). A look at the connection right before the write (`peek`) sees only what has come by then; the connection used last is used first, so the gap is the shortest there is.

Change: a pool that has seen bytes nobody asked for, on a resting connection or behind an answer, leaves a connection alone for 20 ms after an answer. Backends that answer once keep one connection, as before (test); the very first second answer of a backend is not guarded against, as nothing tells it from an answer.

--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -26,6 +26,9 @@
 QUICK = SECOND * 3 // 100
 # In seconds: so long a good answer whose length is not told may pause and still be kept whole.
 SOON = 0.02
+# A backend that has once sent what nobody asked for may do so again, some milliseconds behind an answer: what
+# is written to that connection before would get it for its answer. So long it is left alone.
+SETTLED = SECOND // 50
 
 
 @dataclass(slots=True, eq=False)
@@ -67,6 +70,7 @@
         self.inbox = Inbox(pool.pools.stock, MOST_MESSAGE)
         self.called = Event()
         self.ending = False
+        self.rested_at: Time = 0
         self.relay: Relay | None = None
 
     def take(self, errand: Errand) -> None:
@@ -120,6 +124,7 @@
         """Until there is another errand; the end of the connection or of its time comes first, or not."""
         wait_for(self.called, self.sock, self.pool.rest_for / SECOND)
         self.called.clear()
+        self.pool.unasked = self.pool.unasked or bool(peek(self.sock))
         self.pool.wake(self)
 
     def _relayed(self) -> bool:
@@ -176,6 +181,7 @@
             return self._long(answer, errand.probe), False
         reply = answer.probed() if errand.probe else answer.reply()
         # Bytes that nobody asked for would be taken for the next answer.
+        self.pool.unasked = self.pool.unasked or used < self.inbox.filled
         keep = answer.keeps and used == self.inbox.filled and not self.pool.closed and not self.ending
         self.inbox.next(used)
         return reply, keep
@@ -286,10 +292,12 @@
         self.resting: list[Line] = []
         self.lines: dict[Line, None] = {}
         self.closed = False
+        self.unasked = False  # bytes have come that nobody asked for
 
     def carry(self, errand: Errand) -> bool:
-        if self.resting:
-            line = self.resting.pop()
+        line = self._rested()
+        if line is not None:
+            self.resting.remove(line)
             self.pools.resting.pop(line, None)
             line.take(errand)
             return True
@@ -305,7 +313,16 @@
         gevent.spawn(line.run)
         return True
 
+    def _rested(self) -> Line | None:
+        """The one used last that may be used again."""
+        settled = self.clock.now() - SETTLED
+        for line in reversed(self.resting):
+            if not self.unasked or line.rested_at <= settled:
+                return line
+        return None
+
     def rest(self, line: Line) -> None:
+        line.rested_at = self.clock.now()
         self.resting.append(line)
         self.pools.resting[line] = None
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -1,6 +1,9 @@
+from collections import defaultdict
+
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from gevent.queue import SimpleQueue
 from helpers import SECOND, Far, replies, served, until
 
@@ -440,3 +443,42 @@
     # The connection is sound: it is kept, and the next one goes out on it.
     assert ways.start()[1] == [] and until(lambda: heard)
     assert ways.opened == 1 and heard == [HEAD]
+
+
+def test_a_second_answer_that_comes_late_is_never_taken_for_the_next_ones():
+    """A backend that answers twice, the second time some milliseconds behind."""
+
+    late = defaultdict(Event)
+
+    def twice(peer):
+        while heard := peer.hear():
+            number = heard.split(b"ID: ")[1][:2]
+            peer.send(served(number))
+            late[number].wait()
+            peer.send(served(b"again " + number))
+
+    ways, bodies = Ways(Far(twice).address), []
+
+    def send(n):
+        back = []
+        errand = Errand([HEAD.replace(b"r1", b"r%d" % n)], ways.pools.clock.now() + SECOND, back.append)
+        assert ways.pools.carry("b", errand)
+        # Right behind the next request, which is written at the greenlet's turn.
+        late[b"r%d" % (n - 1)].set()
+        assert until(lambda: back)
+        bodies.append(bytes(back[0].body))
+
+    # Seen once on a connection that rests, and from then on looked out for.
+    send(1)
+    late[b"r1"].set()
+    assert until(lambda: not ways.pools.budget.held)
+    for n in range(2, 9):
+        send(n)
+    assert bodies == [b"r%d" % n for n in range(1, 9)]
+
+
+def test_a_backend_that_answers_once_keeps_one_connection():
+    ways = Ways(Far(replies(served())).address)
+    for _ in range(20):
+        ways.send()
+    assert ways.opened == 1
