--- a/src/nettledeal/fleet/clients.py
+++ b/src/nettledeal/fleet/clients.py
@@ -18,7 +18,7 @@
 from nettledeal.fleet.http import answer
 from nettledeal.fleet.wires import Post, now
 from nettledeal.net.protocol.reports import report
-from nettledeal.net.transport.sockets import smooth
+from nettledeal.net.transport.sockets import peek, smooth
 
 SLACK = 500  # a client reads on for a moment, as the rule on answers is judged with one
 
@@ -32,6 +32,9 @@
 
     def ask(self, message: bytes, by: int) -> tuple[int, bytes, bytes]:
         """Status, body and load report; status 0 where none came in time, -1 where nothing was sent."""
+        # One whose other end died or closed while it rested is seen to have ended, as usual clients see it.
+        while self.resting and peek(self.resting[-1]) is not None:
+            self.resting.pop().close()
         fresh = not self.resting
         sock = socket.socket() if fresh else self.resting.pop()
         try:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -159,11 +159,12 @@
 class Far:
     """A peer to connect to: the n-th connection gets the n-th script, further ones the last."""
 
-    def __init__(self, *scripts):
+    def __init__(self, *scripts, address=("127.0.0.1", 0)):
         self.scripts = list(scripts)
         self.peers = []
         self.sock = socket.socket()
-        self.sock.bind(("127.0.0.1", 0))
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
         self.sock.listen(64)
         self.address = self.sock.getsockname()
         gevent.spawn(self._serve)
