--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -140,7 +140,8 @@
         timer = gevent.Timeout(max(0, errand.give_up_at - self.pool.clock.now()) / SECOND)
         try:
             # Nothing new is sent on what has ended meanwhile: it would be in doubt for no reason.
-            if self.sock is not None and peek(self.sock) is not None:
+            if self.sock is not None and (seen := peek(self.sock)) is not None:
+                self.pool.unasked = self.pool.unasked or bool(seen)
                 self.sock.close()
                 self.sock = None
             timer.start()
--- a/src/nettledeal/net/transport/sockets.py
+++ b/src/nettledeal/net/transport/sockets.py
@@ -106,8 +106,9 @@
 def hung_up(sock: socket.socket) -> bool:
     """Whether the peer has ended its sending, or the connection has: also behind bytes that nobody has read,
     where `peek` does not see that far."""
-    if not peek(sock):
-        return peek(sock) is not None
+    seen = peek(sock)
+    if not seen:
+        return seen is not None
     watch = select.poll()
     watch.register(sock.fileno(), select.POLLRDHUP)
     return bool(watch.poll(0))
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -8,6 +8,8 @@
 
 from nettledeal.net.protocol.client import Asking, answer
 from nettledeal.net.transport import listener as listener_module
+from nettledeal.net.transport import sockets as sockets_module
+from nettledeal.net.transport.sockets import hung_up, peek
 
 
 def test_a_connection_carries_one_request_after_another():
@@ -343,3 +345,36 @@
     answer = client.hear()
     assert b"Connection: close" in answer and answer.endswith(b"one")
     assert client.hear() == b"" and len(door.taken) == 1
+
+
+def test_nothing_behind_a_body_that_was_answered_early_is_taken():
+    door = Door()
+    door.listener.longest = 1_000_000
+    body = 200_000 * b"x"
+    client = door.connect().send(asked(b"r1", body=body)[:-130_000])
+    assert client.hear().startswith(b"HTTP/1.1 200 ")
+    # The side that would answer is shut; both could be read all the same.
+    client.send(body[:130_000] + asked(b"r2"))
+    assert client.hear() == b""
+    assert until(lambda: not door.listener.guests)
+    assert [b"ID: r1" in taken[0].head for taken in door.taken] == [True]
+
+
+@pytest.mark.parametrize(
+    ("sent", "ended", "seen"),
+    [(b"", False, False), (b"", True, True), (b"bytes", False, False), (b"bytes", True, True)],
+)
+def test_an_end_is_seen_behind_bytes_and_bytes_are_no_end(sent, ended, seen, monkeypatch):
+    near, far = socket.socketpair()
+    if not sent and not ended:
+        # What comes between two looks is no end either.
+        def look(sock):
+            found = peek(sock)
+            far.send(b"just now")
+            return found
+
+        monkeypatch.setattr(sockets_module, "peek", look)
+    far.sendall(sent)
+    if ended:
+        far.close()
+    assert hung_up(near) is seen
