--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -315,8 +315,8 @@
         if rest is not None:
             self._pass_on(rest, in_chunks)
         if early:
-            # Closing with bytes unread would send a reset, and that could overtake the answer. What comes behind
-            # the body could not be answered: it is not read as a request.
+            # Closing with bytes unread would send a reset, and that could overtake the answer. What comes
+            # behind the body could not be answered: it is not read as a request.
             self.leaving = True
             self.sock.shutdown(socket.SHUT_WR)
             with gevent.Timeout(None if self.listener.takes_upload else DRAINS, False):
