--- a/src/nettledeal/net/transport/sockets.py
+++ b/src/nettledeal/net/transport/sockets.py
@@ -111,4 +111,5 @@
         return seen is not None
     watch = select.poll()
     watch.register(sock.fileno(), select.POLLRDHUP)
-    return bool(watch.poll(0))
+    ends = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+    return any(events & ends for _, events in watch.poll(0))
