--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -109,6 +109,7 @@
         self.read_at: Time = 0
         self.stirred = Event()
         self.leaving = False
+        self.parted = False  # its side is shut, and what still came has been read
 
     def leave(self) -> None:
         """Ends the connection between two requests, or within one that is not whole."""
@@ -123,7 +124,7 @@
             smooth(self.sock)
             while self._one():
                 pass
-            if self.served and peek(self.sock):
+            if self.served and not self.parted and peek(self.sock):
                 self._part()
         except (OSError, gevent.Timeout):
             self.listener.counters["client connections broken"] += 1
@@ -317,7 +318,7 @@
         if early:
             # Closing with bytes unread would send a reset, and that could overtake the answer. What comes
             # behind the body could not be answered: it is not read as a request.
-            self.leaving = True
+            self.leaving = self.parted = True
             self.sock.shutdown(socket.SHUT_WR)
             with gevent.Timeout(None if self.listener.takes_upload else DRAINS, False):
                 upload.discard()
@@ -350,6 +351,7 @@
     def _part(self) -> None:
         """Ends the connection behind an answer. Closing with bytes unread would send a reset, and that could
         overtake it."""
+        self.parted = True
         self.sock.shutdown(socket.SHUT_WR)
         with gevent.Timeout(DRAINS, False):
             for _ in range(DRAINED):
