--- a/src/nettledeal/net/transport/watch.py
+++ b/src/nettledeal/net/transport/watch.py
@@ -19,15 +19,13 @@
 from nettledeal.net.transport.sockets import opened, send_all, smooth
 
 # What discovery has to tell counts as told six seconds after it had it and could be reached, whatever became
-# of the calls in between. So no call goes on for longer than the time that a watch may say nothing, and none
-# begins later than `LONGEST_REST` after the one before: one that hangs from before discovery came back, or a
-# watch that has fallen silent, leaves time for another call, and for a third if that one fails too.
+# of the calls in between. So a call goes on for no longer than a watch may say nothing, and the next one begins
+# `LONGEST_REST` later at most: a call that hangs from before discovery came back leaves time for another, a
+# watch that has fallen silent for one that hangs and a third. Less patience with a service that is slow makes
+# it slower: each call given up has cost it as much as one that was heard.
 #
 # A line comes every two seconds, so one overdue by a third of that is not waited for. In seconds, as all.
 SILENCE = 2.6
-# From the start of a call to the head of its answer; every second one of a row that failed has all of
-# `SILENCE` for it, as a service may be slow and not gone.
-PROMPT = 1.0
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.66
 # Turned away: callers that come back as often as after a loss would all be turned away again.
@@ -81,9 +79,7 @@
         self.version = version
         self.stands = False  # the list has been heard, and not been lost since
         self.followed = False  # another one takes its place: once lost, it does not come back
-        self.failed = 0  # calls in a row that told nothing
-        self.began = 0.0  # the call, by the monotonic clock
-        self.by = 0.0  # by the same: when the call is given up unless it says something whole
+        self.by = 0.0  # by the monotonic clock: when the call is given up unless it says something whole
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -101,7 +97,6 @@
                     self._fetch()
                 for line in self._watch():
                     self.pauses.heard()
-                    self.failed = 0
                     self.stands = True
                     if line:
                         self._read(line)
@@ -120,7 +115,6 @@
                 self.version = None
                 self.counters.fault("watch")
             self.stands = False
-            self.failed += 1
             self.lost(self)
             # Agents that lose the list together must not all come back in the same instant.
             gevent.sleep(self.pauses.next(declined))
@@ -153,9 +147,7 @@
 
     @contextmanager
     def _open(self) -> Iterator[socket.socket]:
-        self.began = time.monotonic()
-        patient = self.failed and self.failed % 2 == 0
-        self.by = self.began + (SILENCE if patient else PROMPT)
+        self.by = time.monotonic() + SILENCE
         with opened(self.address) as sock:
             sock.settimeout(self._left())
             sock.connect(self.address)
@@ -177,10 +169,7 @@
             count = sock.recv_into(buffer)
             if not count:
                 return
-            headed = told.headed
             told.feed(memoryview(buffer)[:count])
-            if told.headed and not headed:
-                self.by = max(self.by, self.began + SILENCE)
             yield told
 
 
