--- a/src/nettledeal/net/transport/watch.py
+++ b/src/nettledeal/net/transport/watch.py
@@ -19,10 +19,10 @@
 from nettledeal.net.transport.sockets import opened, send_all, smooth
 
 # What discovery has to tell counts as told six seconds after it had it and could be reached, whatever became
-# of the calls in between. So a call goes on for no longer than a watch may say nothing, and the next one begins
+# of the calls in between. A call goes on for no longer than a watch may say nothing, and the next begins
 # `LONGEST_REST` later at most: a call that hangs from before discovery came back leaves time for another, a
 # watch that has fallen silent for one that hangs and a third. Less patience with a service that is slow makes
-# it slower: each call given up has cost it as much as one that was heard.
+# it slower, as a call given up has cost it as much as one that was heard.
 #
 # A line comes every two seconds, so one overdue by a third of that is not waited for. In seconds, as all.
 SILENCE = 2.6
