--- a/src/nettledeal/agent.py
+++ b/src/nettledeal/agent.py
@@ -321,7 +321,7 @@
             gevent.sleep(LINGER)
             # Nobody new from here on, or those who still come would put off the end for ever.
             self.listener.close()
-        while self.owner.busy or self.listener.guests and self.clock.now() < end:
+        while self.owner.busy or self.listener.connections and self.clock.now() < end:
             if self.owner.busy:
                 # A client may wait longer than its category does; its answer has yet to be written, too.
                 end = max(end, self.clock.now() + SECOND // 20)
@@ -339,7 +339,7 @@
         """To a successor that serves: connections end with their next answer, and those that rest late, as
         each that is ended just when its client asks costs a request its way."""
         self.listener.give_way(self.handover.processes - 1)
-        while self.listener.guests and self.clock.now() < end - RESTING * SECOND:
+        while self.listener.connections and self.clock.now() < end - RESTING * SECOND:
             gevent.sleep(0.02)
         self.listener.close_idle()
 
--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -96,7 +96,7 @@
             self.rest.end(False)
 
 
-class Guest:
+class ClientConnection:
     """One client's connection."""
 
     def __init__(self, listener: Listener, sock: socket.socket, welcome: bool):
@@ -157,7 +157,7 @@
             raise
         except Exception:
             # Ours, not the client's: it has sent a whole request, and gets a whole answer.
-            self.listener.counters.fault("guest")
+            self.listener.counters.fault("client connection")
             self._refuse(Malformed(HTTPStatus.INTERNAL_SERVER_ERROR, "a fault of the agent"))
             return False
         if used is None:
@@ -379,13 +379,14 @@
         self.quiet = False  # drained by an operator: no new clients are wanted
         # Counts drains, so that the end of one does not end the next.
         self.drains = 0
-        self.guests: dict[Guest, None] = {}
+        self.connections: dict[ClientConnection, None] = {}
         self.uploads = 0  # long requests that are still coming, or whose answer is out
         # Between requests and before the first one, since when; the longest first.
-        self.idle: dict[Guest, Time] = {}
-        self.strangers: dict[Guest, Time] = {}
-        self.reading: dict[Guest, Time] = {}  # within one, since when
-        self.relaying: dict[Guest, Time] = {}  # within a long answer, since when nothing of it went out
+        self.idle: dict[ClientConnection, Time] = {}
+        self.strangers: dict[ClientConnection, Time] = {}
+        self.reading: dict[ClientConnection, Time] = {}  # within one, since when
+        # Within a long answer, since when nothing of it went out.
+        self.relaying: dict[ClientConnection, Time] = {}
         self.sock = bound(address, shared=True)
 
     def run(self) -> None:
@@ -406,15 +407,15 @@
             self._welcome(sock)
 
     def _welcome(self, sock: socket.socket) -> None:
-        guest = Guest(self, sock, welcome=not self.budget.full or self._make_room())
+        connection = ClientConnection(self, sock, welcome=not self.budget.full or self._make_room())
         if self.budget.held >= ROOMY * self.budget.most:
             self._end_longest()
         self.budget.take()
-        self.guests[guest] = None
-        gevent.spawn(guest.run)
+        self.connections[connection] = None
+        gevent.spawn(connection.run)
 
-    def ended(self, guest: Guest) -> None:
-        del self.guests[guest]
+    def ended(self, connection: ClientConnection) -> None:
+        del self.connections[connection]
         self.budget.give()
 
     def _make_room(self) -> bool:
@@ -433,16 +434,16 @@
         come to make room for."""
         self._end_first((self.strangers, NEW), (self.idle, 0))
 
-    def _end_first(self, *groups: tuple[dict[Guest, Time], Time]) -> bool:
+    def _end_first(self, *groups: tuple[dict[ClientConnection, Time], Time]) -> bool:
         """Whether there was one to be told to leave: in each group the longest one, if for so long."""
         now = self.clock.now()
         for waiting, least in groups:
-            guest, since = next(iter(waiting.items()), (None, now))
-            if guest is not None and now - since >= least:
+            connection, since = next(iter(waiting.items()), (None, now))
+            if connection is not None and now - since >= least:
                 # It goes at its greenlet's turn only; named again until then, it would be the one place that
                 # many newcomers are given.
-                guest.leave()
-                waiting.pop(guest, None)
+                connection.leave()
+                waiting.pop(connection, None)
                 return True
         return False
 
@@ -457,14 +458,14 @@
     @property
     def busy(self) -> bool:
         """Whether somebody sends a request, waits for an answer or is being sent one."""
-        return len(self.guests) > len(self.idle) + len(self.strangers)
+        return len(self.connections) > len(self.idle) + len(self.strangers)
 
     def close_idle(self, rested: Time = 0) -> None:
         """Ends what is between requests, for so long; a client that wants more comes anew."""
         now = self.clock.now()
-        for guest, since in [*self.idle.items(), *self.strangers.items()]:
+        for connection, since in [*self.idle.items(), *self.strangers.items()]:
             if now - since >= rested:
-                guest.leave()
+                connection.leave()
 
     def health(self) -> Slot:
         if self.quiet:
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -18,7 +18,7 @@
     for n in range(3):
         # The event that bytes set was never cleared: every answer was followed by the end.
         assert client.send(asked(b"r%d" % n)).hear().endswith(b"hi"), n
-    assert len(door.listener.guests) == 1
+    assert len(door.listener.connections) == 1
     assert [b"ID: r%d" % n in taken[0].head for n, taken in enumerate(door.taken)] == [True] * 3
 
 
@@ -178,7 +178,7 @@
     silent = [door.connect() for _ in range(40)]
     assert until(lambda: silent[20].hear() == b"")
     assert usual.send(asked(b"r2")).hear().endswith(b"hi")
-    assert len(door.listener.guests) <= 4 + 8
+    assert len(door.listener.connections) <= 4 + 8
 
 
 @pytest.mark.parametrize("trickle", [False, True])
@@ -199,7 +199,7 @@
     monkeypatch.setattr(listener_module, "HEAD", 0.02)
     door = Door()
     assert door.connect().hear() == b""
-    assert until(lambda: not door.listener.guests)
+    assert until(lambda: not door.listener.connections)
 
 
 @pytest.mark.parametrize(("most", "closed"), [(1, True), (8, False)])
@@ -209,7 +209,7 @@
     client = door.connect().send(asked())
     client.hear()
     gevent.sleep(0.05)
-    assert bool(door.listener.guests) is not closed
+    assert bool(door.listener.connections) is not closed
 
 
 def test_connections_that_rest_for_good_leave_places_to_others():
@@ -219,7 +219,7 @@
         peers.append(door.connect())
         assert peers[-1].send(asked(b"r%d" % n)).hear().endswith(b"hi")
     # Fewer than there are places, and those that asked last.
-    assert until(lambda: len(door.listener.guests) <= 7)
+    assert until(lambda: len(door.listener.connections) <= 7)
     assert peers[0].hear() == b""
     assert peers[-1].send(asked(b"more")).hear().endswith(b"hi")
 
@@ -235,9 +235,9 @@
     assert until(lambda: len(door.listener.idle) + len(door.listener.strangers) == 6)
     # All in the queue before the listener's turn: the first of those that rest had been told four times.
     newcomers = [plain.create_connection(door.listener.sock.getsockname()) for _ in range(4)]
-    assert until(lambda: len(door.listener.guests) == 6)
+    assert until(lambda: len(door.listener.connections) == 6)
     gevent.sleep(0.01)
-    assert len(door.listener.guests) == 6 and len(newcomers) == 4
+    assert len(door.listener.connections) == 6 and len(newcomers) == 4
 
 
 def test_a_long_body_is_refused_by_its_head_alone():
@@ -247,7 +247,7 @@
     with pytest.raises(OSError):
         while True:
             client.send(bytes(1_000_000))
-    assert not door.listener.stock.held and until(lambda: not door.listener.guests)
+    assert not door.listener.stock.held and until(lambda: not door.listener.connections)
 
 
 def test_requests_beyond_the_memory_are_deferred():
@@ -310,7 +310,7 @@
     for _ in range(2):
         assert client.send(health).hear().startswith(b"HTTP/1.1 200 ")
     gevent.sleep(0.15)
-    assert len(door.listener.guests) == 1
+    assert len(door.listener.connections) == 1
 
 
 def test_a_drain_ended_early_ends_nobody(monkeypatch):
@@ -356,7 +356,7 @@
     # The side that would answer is shut; both could be read all the same.
     client.send(body[:130_000] + asked(b"r2"))
     assert client.hear() == b""
-    assert until(lambda: not door.listener.guests)
+    assert until(lambda: not door.listener.connections)
     assert [b"ID: r1" in taken[0].head for taken in door.taken] == [True]
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -130,7 +130,7 @@
     client = agent.connect()
     for n in range(3):
         assert client.send(ask(id=b"r%d" % n)).hear().endswith(LONG)
-    assert len(far.peers) == 1 == len(agent.listener.guests)
+    assert len(far.peers) == 1 == len(agent.listener.connections)
 
 
 def test_the_first_bytes_do_not_wait_for_the_rest():
