--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -124,7 +124,7 @@
         """Until there is another errand; the end of the connection or of its time comes first, or not."""
         wait_for(self.called, self.sock, self.pool.rest_for / SECOND)
         self.called.clear()
-        self.pool.unasked = self.pool.unasked or bool(peek(self.sock))
+        self.pool.unasked |= bool(peek(self.sock))
         self.pool.wake(self)
 
     def _relayed(self) -> bool:
@@ -141,7 +141,7 @@
         try:
             # Nothing new is sent on what has ended meanwhile: it would be in doubt for no reason.
             if self.sock is not None and (seen := peek(self.sock)) is not None:
-                self.pool.unasked = self.pool.unasked or bool(seen)
+                self.pool.unasked |= bool(seen)
                 self.sock.close()
                 self.sock = None
             timer.start()
@@ -182,7 +182,7 @@
             return self._long(answer, errand.probe), False
         reply = answer.probed() if errand.probe else answer.reply()
         # Bytes that nobody asked for would be taken for the next answer.
-        self.pool.unasked = self.pool.unasked or used < self.inbox.filled
+        self.pool.unasked |= used < self.inbox.filled
         keep = answer.keeps and used == self.inbox.filled and not self.pool.closed and not self.ending
         self.inbox.next(used)
         return reply, keep
@@ -298,8 +298,7 @@
     def carry(self, errand: Errand) -> bool:
         line = self._rested()
         if line is not None:
-            self.resting.remove(line)
-            self.pools.resting.pop(line, None)
+            self.wake(line)
             line.take(errand)
             return True
         # A connection opened for a probe must not cost another backend one that work items could use: with
