--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -455,6 +455,11 @@
     def crowded(self) -> bool:
         return 2 * self.budget.held > self.budget.most
 
+    @property
+    def busy(self) -> bool:
+        """Whether somebody sends a request, waits for an answer or is being sent one."""
+        return len(self.connections) > len(self.idle) + len(self.strangers)
+
     def close_idle(self, rested: Time = 0) -> None:
         """Ends what is between requests, for so long; a client that wants more comes anew."""
         now = self.clock.now()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -51,10 +51,7 @@
 
     @property
     def rests(self):
-        listener = self.listener
-        # Somebody sends a request, waits for an answer or is being sent one.
-        busy = len(listener.connections) > len(listener.idle) + len(listener.strangers)
-        return not (self.owner.busy or busy or self.requests.held or self.answers.held)
+        return not (self.owner.busy or self.listener.busy or self.requests.held or self.answers.held)
 
 
 def ask(body=b"", category=b"write", id=b"r1", more=b"", length=True, version=b"1.1", method=b"POST"):
