Core machines leave by agreement; the directory keeps to homes of routes; the reader's terms belong to one life

Leave: a backup that got SIGTERM just ended, and stayed a voter until its silence was noticed (1 s); after a planned replacement that left two of four voters if another disk was lost meanwhile (model: stuck in all plays where the loss came at once). Now it tells the primary with its heartbeat answers, the next epoch does without it, and it ends once a majority has stored that epoch, at the latest after 0.55 of the grace. A copy that the floor needs stays until another one is complete; an even number of voters leaves out one that is absent; three keep theirs (two would bear no more, and less once it is back). Ruled out: leaving out any absent voter.

HOME: with fewer than two live members in a region the directory widened to all regions. Now the homes of a host's routes bind the directory, and while all members inside them are leaving these go on being told, for half a second each.

Reader: versions of its list began with the time of day in each life. Now the primary grants each life of the reader a number of its own; with a primary of an earlier release the old rule holds.

--- a/src/nettledeal/control/backup.py
+++ b/src/nettledeal/control/backup.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from nettledeal.control.messages import (
+    NO_LIVES,
     Append,
     Appended,
     Decided,
@@ -19,6 +20,7 @@
     ReplicaInfo,
 )
 from nettledeal.control.replicated import Replicated, range_digests
+from nettledeal.control.roles import Appointment
 from nettledeal.control.state import ControlState
 from nettledeal.control.steps import Outbox
 
@@ -30,9 +32,12 @@
     replicated: Replicated
     record: EpochRecord | None
     storage_ok: bool
-    reader: str
-    reader_number: int
+    appointment: Appointment
     reader_epoch: int
+    life: int
+    leaving: bool
+    _heard_beat: int
+    _released_in: int
     reading_age_s: float | None
     confirmed_at: float
     _heard_primary_at: float
@@ -55,21 +60,31 @@
         if message.age_ms >= 0:
             self._heard_primary_at = now
             self._postpone_election(now)
-            self.reader, self.reader_number = message.reader, message.reader_number
+            self.appointment = Appointment(message.reader, message.reader_number, message.reader_life)
             self.reader_epoch = message.epoch
             self._take_commit(message.committed)
             if replicated.epoch == message.epoch and replicated.committed_sequence >= message.committed >= 0:
                 self.confirmed_at = max(self.confirmed_at, now - message.age_ms / 1000)
+        self._heard_beat = message.beat
+        if message.released or message.reader_life == NO_LIVES:
+            self._released_in = message.epoch
+        self._answer_heartbeat(sender.host, message.epoch)
+
+    def _answer_heartbeat(self, host: str, epoch: int) -> None:
+        """Tell the primary of an epoch how this replica stands."""
+        replicated = self.replicated
         age = -1 if self.reading_age_s is None else int(self.reading_age_s * 1000)
         reply = HeartbeatAck(
-            message.epoch,
-            message.beat,
+            epoch,
+            self._heard_beat,
             replicated.durable_epoch,
             replicated.durable_sequence,
             self.storage_ok,
             age,
+            self.life,
+            self.leaving,
         )
-        self.outbox.send(sender.host, reply)
+        self.outbox.send(host, reply)
 
     def _on_replication(self, sender: ReplicaInfo, message: Append | Reconcile | Ranges) -> None:
         if not self._current(sender, message.epoch):
--- a/src/nettledeal/control/composition.py
+++ b/src/nettledeal/control/composition.py
@@ -16,13 +16,19 @@
     """A replica as the primary sees it.
 
     `live`: heard lately. `usable`: may be in sync (live, its disk works, it acknowledges in time).
-    `caught_up`: has synced everything that the primary has.
+    `caught_up`: has synced everything that the primary has. `leaving`: its process is about to end.
     """
 
     info: ReplicaInfo
     live: bool
     usable: bool
     caught_up: bool
+    leaving: bool = False
+
+    @property
+    def staying(self) -> bool:
+        """Whether it is heard and goes on."""
+        return self.live and not self.leaving
 
 
 def satisfies_floor(
@@ -92,14 +98,9 @@
     joining = [
         candidate.info
         for name, candidate in candidates.items()
-        if name not in base.in_sync and candidate.usable and candidate.caught_up
+        if name not in base.in_sync and candidate.usable and candidate.caught_up and not candidate.leaving
     ]
-    kept = [name for name in base.in_sync if name in candidates and candidates[name].usable]
-    wanted = tuple(kept) + tuple(info.replica_id for info in joining)
-    voters = _next_voters(base, joining, candidates, protected=frozenset())
-    if not satisfies_floor(wanted, voters, tolerance):
-        voters = _next_voters(base, joining, candidates, protected=frozenset(base.in_sync))
-        wanted = base.in_sync + tuple(info.replica_id for info in joining)
+    wanted, voters = _next_members(base, joining, candidates, tolerance)
     voter_ids = {voter.replica_id for voter in voters}
     in_sync = tuple(name for name in wanted if name in voter_ids)
     record = EpochRecord(base.epoch + 1, base.primary, in_sync, voters, base.cluster)
@@ -107,6 +108,30 @@
     return None if same else record
 
 
+def _next_members(
+    base: EpochRecord,
+    joining: list[ReplicaInfo],
+    candidates: dict[str, Candidate],
+    tolerance: FaultTolerance,
+) -> tuple[tuple[str, ...], tuple[ReplicaInfo, ...]]:
+    """The members in sync, and the voters.
+
+    Those that are leaving are left out one after the other, as far as the floor allows; the others have to
+    wait until some replica more is in sync. Members that are not usable stay only below the floor.
+    """
+    usable = [name for name in base.in_sync if name in candidates and candidates[name].usable]
+    leaving = tuple(name for name in usable if candidates[name].leaving)
+    staying = tuple(name for name in usable if name not in leaving)
+    added = tuple(info.replica_id for info in joining)
+    for count in range(len(leaving) + 1):
+        held = leaving[:count]
+        wanted = staying + held + added
+        voters = _next_voters(base, joining, candidates, protected=frozenset(held))
+        if satisfies_floor(wanted, voters, tolerance):
+            return wanted, voters
+    return base.in_sync + added, _next_voters(base, joining, candidates, protected=frozenset(base.in_sync))
+
+
 def _next_voters(
     base: EpochRecord, joining: list[ReplicaInfo], candidates: dict[str, Candidate], protected: frozenset[str]
 ) -> tuple[ReplicaInfo, ...]:
@@ -120,7 +145,37 @@
         for voter in voters
         if voter.replica_id not in protected and _superseded(voter, voters, candidates)
     }
-    return tuple(voter for voter in voters if voter.replica_id not in superseded)
+    remaining = [voter for voter in voters if voter.replica_id not in superseded]
+    return _without_spare(remaining, candidates, protected)
+
+
+def _without_spare(
+    voters: list[ReplicaInfo], candidates: dict[str, Candidate], protected: frozenset[str]
+) -> tuple[ReplicaInfo, ...]:
+    """The voters, less one that is leaving or silent if their number is even.
+
+    An even number with one absent bears one loss less than the odd number without it. From an odd number none
+    is left out: it would bear no more, and less once the absent one is back.
+    """
+    if len(voters) % 2 == 1:
+        return tuple(voters)
+    absent = [
+        voter
+        for voter in voters
+        if voter.replica_id not in protected and not _stays(voter.replica_id, candidates)
+    ]
+    if not absent:
+        return tuple(voters)
+    spared = min(absent, key=lambda voter: (not _leaves(voter.replica_id, candidates), voter.joined))
+    return tuple(voter for voter in voters if voter is not spared)
+
+
+def _stays(replica_id: str, candidates: dict[str, Candidate]) -> bool:
+    return replica_id in candidates and candidates[replica_id].staying
+
+
+def _leaves(replica_id: str, candidates: dict[str, Candidate]) -> bool:
+    return replica_id in candidates and candidates[replica_id].leaving
 
 
 def _with_joined(
@@ -132,17 +187,15 @@
 
 
 def _superseded(voter: ReplicaInfo, voters: list[ReplicaInfo], candidates: dict[str, Candidate]) -> bool:
-    """Whether a voter is silent and a live one that joined its zone later has taken its place.
+    """Whether a voter is silent or leaving and one that joined its zone later has taken its place.
 
     Should it come back, it joins again.
     """
-    candidate = candidates.get(voter.replica_id)
-    if candidate is not None and candidate.live:
+    if _stays(voter.replica_id, candidates):
         return False
     return any(
-        other.zone == voter.zone and other.joined > voter.joined and candidates[other.replica_id].live
+        other.zone == voter.zone and other.joined > voter.joined and _stays(other.replica_id, candidates)
         for other in voters
-        if other.replica_id in candidates
     )
 
 
--- a/src/nettledeal/control/messages.py
+++ b/src/nettledeal/control/messages.py
@@ -124,8 +124,19 @@
     has_primary: bool
 
 
+# In a heartbeat: the primary is of a release that grants the reader's part to no particular life.
+NO_LIVES = -1
+# In a heartbeat: the reader's present life is not known yet; nobody acts as the reader.
+NOT_GRANTED = 0
+
+
 class Heartbeat(_Message, tag=10):
-    """From the primary. `age_ms`: since when its state is confirmed; negative while it cannot act."""
+    """From the primary. `age_ms`: since when its state is confirmed; negative while it cannot act.
+
+    The replica `reader` reads the platform's list in the one life of its process that `reader_life` names
+    (or NO_LIVES, NOT_GRANTED). `released`: the receiver has said that it is leaving, and the epoch, which a
+    majority has stored, needs it no more.
+    """
 
     epoch: int
     beat: int
@@ -133,12 +144,16 @@
     age_ms: int
     reader: str
     reader_number: int
+    reader_life: int = NO_LIVES
+    released: bool = False
 
 
 class HeartbeatAck(_Message, tag=11):
     """What the sender has on its disk: `sequence` of the primary of `synced_epoch`.
 
     `reading_age_ms` is the age of its last good reading of the platform's list, negative if there is none.
+    `life` is drawn by each process at its start, 0 in releases without. `leaving`: the process is about to
+    end.
     """
 
     epoch: int
@@ -147,6 +162,8 @@
     sequence: int
     storage_ok: bool
     reading_age_ms: int
+    life: int = 0
+    leaving: bool = False
 
 
 class Append(_Message, tag=12):
--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -18,7 +18,7 @@
 from nettledeal.control.cluster_guard import ClusterGuard
 from nettledeal.control.identity import CoreMember, core_member, first_identity, own_info
 from nettledeal.control.mesh import Mesh
-from nettledeal.control.messages import EpochRecord, Hello, Message, ReplicaInfo
+from nettledeal.control.messages import NO_LIVES, EpochRecord, Hello, Message, ReplicaInfo
 from nettledeal.control.performer import Performer
 from nettledeal.control.replica import Replica
 from nettledeal.control.roles import ReaderTerm
@@ -28,8 +28,9 @@
 from nettledeal.control.timing import timing_for
 from nettledeal.control.writer import Writer
 
-HANDOVER_S = 1.5
-HANDOVER_CHECK_S = 0.02
+# By this part of the platform's grace a process that is to end stops waiting for the others' agreement.
+LEAVE_SHARE = 0.55
+LEAVE_CHECK_S = 0.02
 MIN_SLEEP_S = 0.002
 MAX_SLEEP_S = 60.0
 CALL_SHARE_OF_ACK = 0.8
@@ -88,11 +89,12 @@
         self._greenlets = [gevent.spawn(self._run_timer), gevent.spawn(self._run_contact_check)]
 
     def stop(self) -> None:
-        """Hand over the part of primary, if there is one to hand over to, and close."""
-        deadline = time.monotonic() + HANDOVER_S
+        """Hand over what this replica leads, wait until the others can do without it, and close."""
+        deadline = time.monotonic() + LEAVE_SHARE * self.settings.bounds.grace_s
         self._input(lambda now: self._replica.leave(now))
-        while self.is_primary and time.monotonic() < deadline:
-            gevent.sleep(HANDOVER_CHECK_S)
+        while not self._replica.may_end and time.monotonic() < deadline:
+            gevent.sleep(LEAVE_CHECK_S)
+        log_event("control:left", agreed=self._replica.may_end)
         self.abort()
 
     def abort(self) -> None:
@@ -137,11 +139,14 @@
 
     @property
     def reader(self) -> str | None:
-        """The replica that is to read the platform's list."""
+        """The replica that is to read the platform's list; None also while its present life has no grant."""
         replica = self._replica
         if replica is None:
             return None
-        return (replica.primary.role.reader if replica.primary else replica.reader) or None
+        reader = replica.current_appointment.reader
+        if reader == replica.info.replica_id and not replica.reads:
+            return None
+        return reader or None
 
     @property
     def reader_term(self) -> ReaderTerm:
@@ -149,10 +154,11 @@
         replica = self._replica
         if replica is None or replica.record is None:
             return ReaderTerm(-1, 0)
-        if replica.primary:
-            return ReaderTerm(replica.record.epoch, replica.primary.role.number)
-        # Both from one heartbeat: numbers begin anew with an epoch, and a term must never go back.
-        return ReaderTerm(replica.reader_epoch, replica.reader_number)
+        appointment = replica.current_appointment
+        # Of a backup both are from one heartbeat: numbers begin anew with an epoch, and a term must never go
+        # back.
+        epoch = replica.record.epoch if replica.primary else replica.reader_epoch
+        return ReaderTerm(epoch, appointment.number, appointment.life != NO_LIVES)
 
     def report_reading(self, ok: bool) -> None:
         """The reader tells how its last reading went."""
--- a/src/nettledeal/control/peers.py
+++ b/src/nettledeal/control/peers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from nettledeal.control.composition import Candidate
-from nettledeal.control.messages import EpochRecord, HeartbeatAck, ReplicaInfo
+from nettledeal.control.messages import NOT_GRANTED, EpochRecord, HeartbeatAck, ReplicaInfo
 from nettledeal.control.state import ControlState
 from nettledeal.control.timing import Timing
 
@@ -18,7 +18,8 @@
     """Contact and progress of one replica within an epoch.
 
     `acked` is the sequence that it has synced of this epoch's primary, -1 before it was reconciled.
-    `behind_since` is when it was first found not to have synced what was sent to it.
+    `behind_since` is when it was first found not to have synced what was sent to it. `life` is its process's,
+    and `leaving` whether that is about to end.
     """
 
     info: ReplicaInfo
@@ -31,6 +32,8 @@
     behind_since: float | None = None
     storage_ok: bool = True
     reading_age_s: float | None = None
+    life: int = NOT_GRANTED
+    leaving: bool = False
     reconciling: ControlState | None = field(default=None, repr=False)
 
     def heard(self, now: float) -> None:
@@ -45,6 +48,7 @@
         """Take over what a heartbeat's answer tells."""
         self.beat = max(self.beat, message.beat)
         self.storage_ok = message.storage_ok
+        self.life, self.leaving = message.life, message.leaving
         age = message.reading_age_ms
         self.reading_age_s = age / 1000 if age >= 0 else None
 
@@ -65,6 +69,7 @@
             live=live,
             usable=live and self.storage_ok and not late,
             caught_up=self.acked >= sequence,
+            leaving=self.leaving,
         )
 
 
--- a/src/nettledeal/control/primary.py
+++ b/src/nettledeal/control/primary.py
@@ -5,6 +5,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+import msgspec
+
 from nettledeal.common.errors import ErrorCode
 from nettledeal.common.settings import FaultTolerance
 from nettledeal.control.composition import Candidate, next_record, satisfies_floor
@@ -17,7 +19,7 @@
 from nettledeal.control.peers import BEATS_KEPT, NEVER, Contacts, Peer
 from nettledeal.control.replicated import Replicated
 from nettledeal.control.replication import Replication
-from nettledeal.control.roles import ReaderRole
+from nettledeal.control.roles import Appointment, ReaderCandidate, ReaderRole
 from nettledeal.control.state import Change, Command, Outcome, decide
 from nettledeal.control.steps import Outbox
 from nettledeal.control.timing import Timing
@@ -47,12 +49,14 @@
         timing: Timing,
         tolerance: FaultTolerance,
         now: float,
-        reader: str,
+        appointment: Appointment,
+        life: int,
     ):
         self.info, self.record = info, record
+        self.life = life
         self.acting = False
         self.peers: dict[str, Peer] = {}
-        self.role = ReaderRole(reader, now, timing)
+        self.role = ReaderRole(appointment, now, timing)
         self.storage_ok = True
         self.own_reading_age_s: float | None = None
         self.waiting: list[Waiting] = []
@@ -73,7 +77,7 @@
         for name, before in earlier.peers.items():
             peer = self.peers.setdefault(name, Peer(before.info))
             peer.info, peer.heard_at, peer.storage_ok = before.info, before.heard_at, before.storage_ok
-            peer.reading_age_s = before.reading_age_s
+            peer.reading_age_s, peer.life, peer.leaving = before.reading_age_s, before.life, before.leaving
         self.waiting = [
             Waiting(waiting.ticket, waiting.sequence, 1, waiting.outcome) for waiting in earlier.waiting
         ]
@@ -180,7 +184,8 @@
         self._forget_gone(now)
         for peer in self.peers.values():
             self._send_appends(now, peer)
-        self.role.review(now, self._usable(now), self._reading_age)
+        if self.role.review(now, self._reader_candidates(now)):
+            self.heartbeat(now)
         self.progress(now)
 
     @property
@@ -193,16 +198,19 @@
         self._heartbeat_at = now + self._timing.heartbeat_s
         self._beat += 1
         self._beat_times.append((self._beat, now))
+        appointment = self.role.appointment
         message = Heartbeat(
             self.record.epoch,
             self._beat,
             self._replicated.committed_sequence,
             self._age_ms(now),
-            self.role.reader,
-            self.role.number,
+            appointment.reader,
+            appointment.number,
+            appointment.life,
         )
+        released = self._released(now)
         for name, peer in self.peers.items():
-            self._send(peer, message)
+            self._send(peer, msgspec.structs.replace(message, released=True) if name in released else message)
             if not self.acting and name not in self._stored:
                 self._send(peer, Decided(self.record))
 
@@ -211,12 +219,14 @@
             return -1
         return int(min(now - self.confirmed_at, 3600.0) * 1000)
 
-    def _usable(self, now: float) -> list[str]:
-        live = [name for name, peer in self.peers.items() if peer.live(now, self._timing)]
-        return [self.info.replica_id, *live]
-
-    def _reading_age(self, name: str) -> float | None:
-        return self.own_reading_age_s if name == self.info.replica_id else self.peers[name].reading_age_s
+    def _reader_candidates(self, now: float) -> list[ReaderCandidate]:
+        own = ReaderCandidate(self.info.replica_id, self.life, self.own_reading_age_s)
+        live = [
+            ReaderCandidate(name, peer.life, peer.reading_age_s)
+            for name, peer in self.peers.items()
+            if peer.live(now, self._timing) and not peer.leaving
+        ]
+        return [own, *live]
 
     # The next epoch
 
@@ -235,13 +245,28 @@
             return self.transfer_record(now)
         return next_record(self.record, self.candidates(now), self._tolerance)
 
+    def _released(self, now: float) -> set[str]:
+        """The leaving peers that may end: this epoch is the one wanted, and they are not among its copies."""
+        leaving = {name for name, peer in self.peers.items() if peer.leaving} - set(self.record.in_sync)
+        if not leaving or not self.acting or self.wanted_record(now) is not None:
+            return set()
+        return leaving
+
+    def tell_released(self, now: float) -> None:
+        """Let peers that are leaving know at once that the epoch without them is stored."""
+        if self._released(now):
+            self.heartbeat(now)
+
     def transfer_record(self, now: float) -> EpochRecord | None:
         """The epoch under the in-sync member that is furthest, this replica left out of the in-sync set."""
         candidates = self.candidates(now)
         members = [
             name
             for name in self.record.in_sync
-            if name != self.info.replica_id and name in candidates and candidates[name].usable
+            if name != self.info.replica_id
+            and name in candidates
+            and candidates[name].usable
+            and not candidates[name].leaving
         ]
         if not members:
             return None
--- a/src/nettledeal/control/replica.py
+++ b/src/nettledeal/control/replica.py
@@ -16,6 +16,8 @@
 from nettledeal.control.elections import Elections
 from nettledeal.control.epochs import Proposer, Witness
 from nettledeal.control.messages import (
+    NO_LIVES,
+    NOT_GRANTED,
     Accept,
     Accepted,
     Append,
@@ -40,11 +42,13 @@
 from nettledeal.control.peers import NEVER
 from nettledeal.control.primary import Primary
 from nettledeal.control.replicated import Replicated
+from nettledeal.control.roles import Appointment
 from nettledeal.control.state import Command, ControlState
 from nettledeal.control.steps import Durable, Outbox, SaveWitness, Step
 from nettledeal.control.timing import Timing
 
 NO_EPOCH = -1
+LIFE_BITS = 62
 
 
 class Replica(Elections, Backup):
@@ -68,11 +72,13 @@
         self.proposer: Proposer | None = None
         self.known: dict[str, ReplicaInfo] = {}
         self._heard_at: dict[str, float] = {}
-        self.reader = ""
-        self.reader_number = 0
+        self.life = random.getrandbits(LIFE_BITS) + 1
+        self.appointment = Appointment("")
         self.reader_epoch = NO_EPOCH
         self.storage_ok = True
         self.leaving = False
+        self._heard_beat = 0
+        self._released_in = NO_EPOCH
         self.reading_age_s: float | None = None
         self.confirmed_at = NEVER
         self._heard_primary_at = NEVER
@@ -95,6 +101,17 @@
         """What the host is to do now."""
         return self.outbox.take()
 
+    @property
+    def current_appointment(self) -> Appointment:
+        """Who reads the platform's list, as this replica knows."""
+        return self.primary.role.appointment if self.primary is not None else self.appointment
+
+    @property
+    def reads(self) -> bool:
+        """Whether this process is to read the platform's list, in its present life."""
+        appointment = self.current_appointment
+        return appointment.reader == self.info.replica_id and appointment.life in (self.life, NO_LIVES)
+
     # Inputs
 
     def receive(self, now: float, sender: ReplicaInfo, message: Message) -> None:
@@ -158,10 +175,23 @@
         self.tick(now)
 
     def leave(self, now: float) -> None:
-        """The process is to end: hand over if this replica is the primary."""
+        """The process is to end: hand over if this replica is the primary, and have others do without it."""
         self.leaving = True
+        self._released_in = NO_EPOCH
+        if self.primary is None:
+            self._announce_leave()
         self.tick(now)
 
+    @property
+    def may_end(self) -> bool:
+        """Whether the epoch known here needs this replica no more, or there is nobody to agree with."""
+        record = self.record
+        if record is None or record.epoch == 0:
+            return True
+        if self.primary is not None:
+            return record.voter_ids == {self.info.replica_id}
+        return self._released_in == record.epoch
+
     def tick(self, now: float) -> None:
         """Time has passed."""
         if now >= self._announce_at:
@@ -221,11 +251,25 @@
             self.primary.last_heard(deposed, self._heard_at.get(deposed, NEVER))
         elif earlier is not None:
             self._fail_tickets(earlier)
+        self._heard_beat = 0
+        if self.leaving and self.primary is None:
+            self._announce_leave()
 
     def _become_primary(self, now: float, record: EpochRecord, earlier: Primary | None) -> None:
-        reader = earlier.role.reader if earlier else self.reader or self.info.replica_id
+        before = earlier.role.appointment if earlier else self.appointment
+        # The reader goes on; the life that it was granted is known, and numbers begin anew with the epoch.
+        life = max(before.life, NOT_GRANTED)
+        appointment = Appointment(before.reader or self.info.replica_id, life=life)
         self.primary = Primary(
-            self.info, record, self.replicated, self.outbox, self.timing, self.tolerance, now, reader
+            self.info,
+            record,
+            self.replicated,
+            self.outbox,
+            self.timing,
+            self.tolerance,
+            now,
+            appointment,
+            self.life,
         )
         self.primary.storage_ok = self.storage_ok
         self.primary.own_reading_age_s = self.reading_age_s
@@ -235,6 +279,14 @@
             self.primary.introduce(now, info)
         self.primary.heartbeat(now)
 
+    def _announce_leave(self) -> None:
+        """Tell the primary, without waiting for its next heartbeat, that this process is about to end."""
+        if self.record is None:
+            return
+        for voter in self.record.voters:
+            if voter.replica_id == self.record.primary:
+                self._answer_heartbeat(voter.host, self.record.epoch)
+
     def _fail_tickets(self, earlier: Primary) -> None:
         for waiting in earlier.waiting:
             undecided = waiting.outcome is not None
@@ -245,6 +297,7 @@
             self.primary.stored(sender.replica_id)
             self.primary.reconcile_stored(now)
             self.primary.progress(now)
+            self.primary.tell_released(now)
 
     def _save_witness(self) -> int:
         return self.outbox.write(SaveWitness(self.witness.state))
--- a/src/nettledeal/discovery/reader.py
+++ b/src/nettledeal/discovery/reader.py
@@ -39,6 +39,7 @@
 
     epoch: int
     number: int
+    granted: bool
 
 
 class ReaderRole(Protocol):
@@ -230,10 +231,15 @@
         self._role.report_reading(ok)
 
     def _next_change(self, term: tuple[int, int]) -> int:
-        """Rises within a term, also when this process was started again within it: others may hold what the
-        one before published, so a term's first change is numbered by the time of day."""
+        """Rises within a term, which belongs to one life of a process.
+
+        Where the primary is of a release that does not see to that, a process that was started again has to
+        exceed what it published before: then a term's first change is numbered by the time of day.
+        """
         held = self._source.version
         following = held[2] + 1 if held[:2] == term else 0
+        if self._role.reader_term.granted:
+            return following
         return max(following, time.time_ns() // _NANOSECONDS_PER_MS)
 
     def _publish(self, changed: bool) -> None:
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -49,6 +49,8 @@
         )
         self.membership = MembershipNode(settings, Role.CORE)
         self.registry = RegistryServer(settings, self.membership) if settings.listen.directory else None
+        if self.registry is not None:
+            self.node.on_commit.append(self.registry.configure)
         self.operator_api = OperatorServer(
             settings,
             self.node,
--- a/src/nettledeal/registry/answers.py
+++ b/src/nettledeal/registry/answers.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from heapq import nlargest
 
 import orjson
@@ -16,6 +17,8 @@
 ENOUGH_OF_MEAN = 0.6
 # A place with fewer live members than this gets those of the larger place as well.
 MIN_MEMBERS = 2
+# An answer that is soon to be replaced by a better one is kept by clients for no longer than this.
+SHORT_TTL_S = 0.5
 # A zone is in doubt when so large a part of its members is suspected: what takes them may have taken others
 # that are not found out yet. A zone with fewer members than this is soon gone through.
 DOUBTED_SHARE, DOUBTED_ZONE = 0.5, 6
@@ -25,18 +28,36 @@
 MAX_CACHED_ANSWERS = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a client is, and the home regions that bind the routes of its host (None: no route has homes)."""
+
+    region: str
+    zone: str
+    homes: frozenset[str] | None = None
+
+    def admits(self, member: MemberInfo) -> bool:
+        """Whether the host's requests may go through that member, by the homes of its routes."""
+        return self.homes is None or member.region == self.region or member.region in self.homes
+
+
 def serving(members: Iterable[MemberInfo]) -> list[MemberInfo]:
     """Members that take clients. Suspected ones, and those of zones in doubt, only if there are no others."""
-    ready = [
-        member
-        for member in members
-        if member.role == Role.EDGE and member.ready and not member.leaving and member.frontend
-    ]
+    ready = [member for member in members if _is_edge(member) and member.ready and not member.leaving]
     sound = [member for member in ready if not member.suspected]
     doubted = zones_in_doubt(ready)
     return [member for member in sound if member.zone not in doubted] or sound or ready
 
 
+def leaving(members: Iterable[MemberInfo]) -> list[MemberInfo]:
+    """Members that are about to stop; they accept connections for some seconds more."""
+    return [member for member in members if _is_edge(member) and member.leaving and not member.suspected]
+
+
+def _is_edge(member: MemberInfo) -> bool:
+    return member.role == Role.EDGE and bool(member.frontend)
+
+
 def zones_in_doubt(members: Sequence[MemberInfo]) -> set[str]:
     """Zones of several members of which many are suspected."""
     known = Counter(member.zone for member in members)
@@ -48,11 +69,36 @@
     }
 
 
-def nearest(members: Iterable[MemberInfo], region: str, zone: str) -> list[MemberInfo]:
-    """The members for a client's place: those of its zone, or of its region or of all where they are few."""
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The members to be told; `lasting` unless others should be asked for again soon."""
+
+    members: list[MemberInfo]
+    lasting: bool = True
+
+
+def choose(members: Iterable[MemberInfo], place: Place) -> Choice:
+    """The members for a client's place.
+
+    Homes of routes are left only where no member inside them is known: while all of these restart, those that
+    are leaving go on being told, for a short time each.
+    """
+    members = list(members)
+    admitted = [member for member in members if place.admits(member)]
+    found = nearest(admitted, place)
+    if found:
+        return Choice(found)
+    last = leaving(admitted)
+    if last:
+        return Choice(last, lasting=False)
+    return Choice(nearest(members, place), lasting=place.homes is None)
+
+
+def nearest(members: Iterable[MemberInfo], place: Place) -> list[MemberInfo]:
+    """The members of a client's zone, or of its region or of all where they are few."""
     everyone = serving(members)
-    local = [member for member in everyone if member.zone == zone]
-    regional = [member for member in everyone if member.region == region]
+    local = [member for member in everyone if member.zone == place.zone]
+    regional = [member for member in everyone if member.region == place.region]
     zones = len({member.zone for member in regional})
     if len(local) >= max(MIN_MEMBERS, ENOUGH_OF_MEAN * len(regional) / max(1, zones)):
         return local
@@ -74,28 +120,29 @@
 
 
 class Answers:
-    """Encoded answers by place, kept until the view changes."""
+    """Encoded answers by place, kept until the view or the homes of routes change."""
 
     def __init__(self, ttl_s: float):
         self._ttl_s = ttl_s
-        self._encoded: dict[tuple[str, str, int], bytes | None] = {}
+        self._encoded: dict[tuple[Place, int], bytes | None] = {}
 
     def clear(self) -> None:
-        """The view has changed."""
+        """The view or the configuration has changed."""
         self._encoded.clear()
 
-    def body(
-        self, members: Iterable[MemberInfo], region: str, zone: str, client_host: str = ""
-    ) -> bytes | None:
+    def body(self, members: Iterable[MemberInfo], place: Place, client_host: str = "") -> bytes | None:
         """The answer's JSON, None if no member takes clients."""
-        key = (region, zone, client_group(client_host))
+        key = (place, client_group(client_host))
         if key not in self._encoded:
             if len(self._encoded) >= MAX_CACHED_ANSWERS:
                 self._encoded.clear()
             self._encoded[key] = self._encode(members, *key)
         return self._encoded[key]
 
-    def _encode(self, members: Iterable[MemberInfo], region: str, zone: str, group: int) -> bytes | None:
-        chosen = share_of_group(nearest(members, region, zone), group)
-        addresses = [member.frontend for member in chosen]
-        return orjson.dumps({"addresses": addresses, "ttl_s": self._ttl_s}) if addresses else None
+    def _encode(self, members: Iterable[MemberInfo], place: Place, group: int) -> bytes | None:
+        choice = choose(members, place)
+        if not choice.members:
+            return None
+        addresses = [member.frontend for member in share_of_group(choice.members, group)]
+        ttl_s = self._ttl_s if choice.lasting else min(SHORT_TTL_S, self._ttl_s)
+        return orjson.dumps({"addresses": addresses, "ttl_s": ttl_s})
--- a/src/nettledeal/registry/server.py
+++ b/src/nettledeal/registry/server.py
@@ -8,8 +8,10 @@
 from nettledeal.common.addresses import parse_address
 from nettledeal.common.http_server import HttpServer
 from nettledeal.common.settings import Settings
+from nettledeal.control.state import ControlState
 from nettledeal.membership.node import MembershipNode
-from nettledeal.registry.answers import Answers
+from nettledeal.registry.answers import Answers, Place
+from nettledeal.registry.homes import RouteHomes
 
 RETRY_AFTER_S = "0.5"
 
@@ -20,10 +22,16 @@
     def __init__(self, settings: Settings, membership: MembershipNode):
         self._membership = membership
         self._regions = settings.zones
+        self._homes = RouteHomes()
         self._answers = Answers(settings.bounds.resolve_ttl_s)
         membership.on_change.append(self._answers.clear)
         super().__init__(parse_address(settings.listen.directory), self.application)
 
+    def configure(self, state: ControlState) -> None:
+        """Go by the homes of routes in a committed state."""
+        if self._homes.update(state):
+            self._answers.clear()
+
     def application(self, environ: dict, start_response) -> Iterable[bytes]:
         """The WSGI application."""
         if environ["PATH_INFO"] != "/resolve" or environ["REQUEST_METHOD"] != "GET":
@@ -31,7 +39,8 @@
         query = parse_qs(environ.get("QUERY_STRING", ""))
         zone = query.get("zone", [""])[0]
         region = self._regions.get(zone) or query.get("region", [""])[0]
-        body = self._answers.body(self._membership.members(), region, zone, environ.get("REMOTE_ADDR", ""))
+        place = Place(region, zone, self._homes.of_host(query.get("name", [""])[0]))
+        body = self._answers.body(self._membership.members(), place, environ.get("REMOTE_ADDR", ""))
         if body is None:
             return _respond(start_response, "503 Service Unavailable", b"{}", ("Retry-After", RETRY_AFTER_S))
         return _respond(start_response, "200 OK", body)
--- a/tests/system/control_rehearsal.py
+++ b/tests/system/control_rehearsal.py
@@ -31,6 +31,8 @@
 SETTLE_S = 25.0
 STRIKE_SHARE = 0.25
 MIN_WAKE_S = 0.002
+LEAVE_S = 4.4
+LEAVE_CHECK_S = 0.02
 
 
 def write_to(durable: Durable, write: Write) -> Durable:
@@ -79,6 +81,7 @@
     held: list = field(default_factory=list)
     timer: float = float("inf")
     gone: bool = False
+    departing: bool = False
 
 
 @dataclass
@@ -198,6 +201,27 @@
         self.crash(machine)
         machine.gone = True
 
+    def leave(self, machine: Machine, then: Callable[[Machine], None], grace_s: float = LEAVE_S) -> None:
+        """SIGTERM: the process ends once it may, at the latest after `grace_s`; then `then` is called."""
+        if machine.replica is None:
+            then(machine)
+            return
+        if not machine.paused:
+            machine.replica.leave(self.now)
+            self.after(machine)
+        self._await_end(machine, machine.life, self.now + grace_s, then)
+
+    def _await_end(
+        self, machine: Machine, life: int, deadline: float, then: Callable[[Machine], None]
+    ) -> None:
+        if machine.replica is None or machine.life != life:
+            return
+        if self.now >= deadline or (machine.replica.may_end and not machine.paused):
+            self.crash(machine)
+            then(machine)
+            return
+        self.at(self.now + LEAVE_CHECK_S, self._await_end, machine, life, deadline, then)
+
     def running(self) -> list[Machine]:
         return [machine for machine in self.machines.values() if machine.replica is not None]
 
@@ -571,13 +595,18 @@
     def _wipes_left(self) -> int:
         """How many more disks may be lost, by the latest epoch that a majority of its voters has stored.
 
-        Voters whose disk is lost for good and machines that are not in sync count as lost already.
+        Voters whose disk is lost for good, machines that are about to leave for good and machines that are not
+        in sync count as lost already.
         """
         world = self.world
         record = world.stored_record()
         if record is None:
             return 0
-        staying = {machine.identity for machine in world.machines.values() if not machine.gone}
+        staying = {
+            machine.identity
+            for machine in world.machines.values()
+            if not machine.gone and not machine.departing
+        }
         lost = (staying - set(record.in_sync)) | (record.voter_ids - staying)
         return max(0, world.tolerance.machines - len(lost))
 
@@ -602,18 +631,33 @@
             return
         machine = self.random.choice(self._some())
         self.spare += 1
-        if machine.replica is not None and self.random.random() < 0.5:
-            machine.replica.leave(self.world.now)
-            self.world.after(machine)
+        machine.departing = True
+        how = self.random.choice((self._replace_dead, self._replace_first, self._replace_planned))
+        how(machine, f"spare{self.spare}")
+
+    def _replace_dead(self, machine: Machine, host: str) -> None:
         self.world.remove(machine)
-        self.world.add(f"spare{self.spare}", machine.zone)
+        self.world.add(host, machine.zone)
+
+    def _replace_first(self, machine: Machine, host: str) -> None:
+        """The one that is leaving goes before the other comes."""
+        self.world.leave(machine, self.world.remove)
+        self.world.add(host, machine.zone)
+
+    def _replace_planned(self, machine: Machine, host: str) -> None:
+        """The new machine comes first; the old one leaves a second later."""
+        self.world.add(host, machine.zone)
+        self.world.at(self.world.now + 1.0, self.world.leave, machine, self.world.remove)
 
     def _leave(self) -> None:
-        machine = self.random.choice(self._some())
-        if machine.replica is not None and not machine.paused:
-            machine.replica.leave(self.world.now)
-            self.world.after(machine)
-            self.world.at(self.world.now + 0.3, self._restart_after, machine, 0.2)
+        """Some are stopped and started again; now and then one is killed as it leaves."""
+        for machine in self._some():
+            if self.random.random() < 0.25:
+                self.world.at(self.world.now + 0.3 * self.random.random(), self._restart_after, machine, 0.2)
+            self.world.leave(machine, self._start_again)
+
+    def _start_again(self, machine: Machine) -> None:
+        self.world.at(self.world.now + 0.2, self.world.start, machine)
 
 
 def heal(world: World) -> None:
--- a/tests/system/test_control_reader_term.py
+++ b/tests/system/test_control_reader_term.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from nettledeal.control.node import ControlNode, ReaderTerm
+from nettledeal.control.roles import Appointment
 
 
 def node_with(replica: SimpleNamespace) -> ControlNode:
@@ -13,22 +14,27 @@
     return node
 
 
+def backup(record_epoch: int, reader_epoch: int, number: int) -> SimpleNamespace:
+    return SimpleNamespace(
+        primary=None,
+        record=SimpleNamespace(epoch=record_epoch),
+        reader_epoch=reader_epoch,
+        current_appointment=Appointment("reader", number, life=1),
+    )
+
+
 def test_a_decided_epoch_does_not_lend_its_number_to_the_appointment_of_the_one_before():
     # Numbers begin anew with each epoch: (6, 1) here and (6, 0) from the next heartbeat on would be a
     # term that goes back, and what the reader publishes under it would be ignored as old by everybody.
-    replica = SimpleNamespace(primary=None, record=SimpleNamespace(epoch=6), reader_epoch=5, reader_number=1)
-    assert node_with(replica).reader_term == ReaderTerm(5, 1)
+    assert node_with(backup(6, 5, 1)).reader_term == ReaderTerm(5, 1)
 
 
 def test_the_term_follows_the_heartbeat_of_the_new_epoch():
-    replica = SimpleNamespace(primary=None, record=SimpleNamespace(epoch=6), reader_epoch=6, reader_number=0)
-    term = node_with(replica).reader_term
+    term = node_with(backup(6, 6, 0)).reader_term
     assert (term.epoch, term.number) > (5, 1)
 
 
 def test_the_primary_goes_by_its_own_record():
-    primary = SimpleNamespace(role=SimpleNamespace(number=2))
-    replica = SimpleNamespace(
-        primary=primary, record=SimpleNamespace(epoch=7), reader_epoch=5, reader_number=1
-    )
+    replica = backup(7, 5, 2)
+    replica.primary = object()
     assert node_with(replica).reader_term == ReaderTerm(7, 2)
--- a/tests/system/test_discovery_long_lists.py
+++ b/tests/system/test_discovery_long_lists.py
@@ -64,6 +64,7 @@
 
     epoch: int = 1
     number: int = 0
+    granted: bool = True
 
     def report_reading(self, ok):
         self.reports.append(ok)
--- a/tests/system/test_discovery_reader.py
+++ b/tests/system/test_discovery_reader.py
@@ -60,6 +60,7 @@
 class Term:
     epoch: int = 3
     number: int = 0
+    granted: bool = True
 
 
 @dataclass
@@ -148,12 +149,27 @@
     assert [version[:2] for version, _ in source.published] == [(3, 0), (4, 1)]
 
 
-def test_a_reader_that_was_started_again_publishes_above_what_it_published_before(platform):
+def test_a_reader_that_was_started_again_publishes_above_what_it_published_before(platform, monkeypatch):
     role = FakeRole()
     reader, source, _ = reader_of(platform, role)
     reader.step()
     platform.names = ["a"]
     reader.step()
+    role.reader_term = Term(3, 1)
+    monkeypatch.setattr("time.time_ns", lambda: 1)
+    again, later, _ = reader_of(platform, role)
+    again.step()
+    assert later.version > source.version
+
+
+def test_a_primary_of_an_earlier_release_leaves_lives_to_be_told_apart_by_the_time_of_day(
+    platform, monkeypatch
+):
+    role = FakeRole(reader_term=Term(granted=False))
+    reader, source, _ = reader_of(platform, role)
+    reader.step()
+    moved_on = source.version[2] + 1
+    monkeypatch.setattr("time.time_ns", lambda: moved_on * 1_000_000)
     again, later, _ = reader_of(platform, role)
     again.step()
     assert later.version > source.version
--- a/tests/system/test_registry_answers.py
+++ b/tests/system/test_registry_answers.py
@@ -4,11 +4,20 @@
 from collections import Counter
 from types import SimpleNamespace
 
+import msgspec
 import pytest
+from pyrsistent import pmap
 
+from nettledeal.common.compression import pack_json
 from nettledeal.common.settings import Listen, Settings
+from nettledeal.control.state import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_META_KEY,
+    ConfigurationMeta,
+    ControlState,
+)
 from nettledeal.membership.node import MemberInfo
-from nettledeal.registry.answers import MAX_ADDRESSES, Answers, nearest
+from nettledeal.registry.answers import MAX_ADDRESSES, SHORT_TTL_S, Answers, Place, choose, nearest
 from nettledeal.registry.server import RegistryServer
 
 REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2"}
@@ -28,7 +37,7 @@
 
 
 def numbers(members, region="r1", zone="z1"):
-    return [int(member.name[1:]) for member in nearest(members, region, zone)]
+    return [int(member.name[1:]) for member in nearest(members, Place(region, zone))]
 
 
 def test_the_own_zone_serves_its_clients_where_it_has_enough():
@@ -92,7 +101,7 @@
 
 
 def told(members, client):
-    return json.loads(Answers(1.0).body(members, "r1", "z1", client))["addresses"]
+    return json.loads(Answers(1.0).body(members, Place("r1", "z1"), client))["addresses"]
 
 
 def test_of_more_members_than_fit_clients_are_told_different_ones():
@@ -176,3 +185,61 @@
     server, membership = registry()
     membership.listed = [edge(1)]
     assert json.loads(ask(server, query="").body)["addresses"] == ["h:1"]
+
+
+def chosen(members, homes, region="r1", zone="z1"):
+    choice = choose(members, Place(region, zone, frozenset(homes)))
+    return sorted(int(member.name[1:]) for member in choice.members), choice.lasting
+
+
+def test_routes_with_homes_stay_in_a_region_of_which_one_member_is_left():
+    members = [edge(1), edge(2, leaving=True, ready=False), edge(5, "z3"), edge(6, "z3")]
+    assert chosen(members, {"r1"}) == ([1], True)
+    assert numbers(members) == [1, 5, 6]
+
+
+def test_routes_with_homes_elsewhere_go_there_where_the_own_region_is_short():
+    members = [edge(1, leaving=True, ready=False), edge(5, "z3"), edge(6, "z3")]
+    assert chosen(members, {"r2"}) == ([5, 6], True)
+
+
+def test_while_all_members_inside_the_homes_are_leaving_they_are_told_for_a_short_time():
+    members = [edge(n, leaving=True, ready=False) for n in (1, 2)] + [edge(5, "z3"), edge(6, "z3")]
+    assert chosen(members, {"r1"}) == ([1, 2], False)
+    body = Answers(2.0).body(members, Place("r1", "z1", frozenset({"r1"})))
+    assert json.loads(body)["ttl_s"] == SHORT_TTL_S
+
+
+def test_homes_are_left_for_a_short_time_where_no_member_inside_them_is_known():
+    assert chosen([edge(5, "z3"), edge(6, "z3")], {"r1"}) == ([5, 6], False)
+
+
+def test_a_suspected_member_inside_the_homes_is_told_before_others():
+    members = [edge(1, suspected=True), edge(5, "z3"), edge(6, "z3")]
+    assert chosen(members, {"r1"}) == ([1], True)
+
+
+def configured(generation, *routes):
+    meta = ConfigurationMeta(generation, b"digest")
+    body = json.dumps({"generation": generation, "routes": list(routes)}).encode()
+    entries = {CONFIGURATION_KEY: pack_json(body), CONFIGURATION_META_KEY: msgspec.msgpack.encode(meta)}
+    return ControlState(generation, pmap(entries))
+
+
+def test_the_homes_of_a_host_are_those_that_bind_all_of_its_routes_with_homes():
+    server, membership = registry()
+    membership.listed = [edge(1), edge(5, "z3"), edge(6, "z3")]
+    first = {"hostname": "H", "home_regions": ["r1", "r2"]}
+    second = {"hostname": "h", "home_regions": ["r1"]}
+    free = {"hostname": "h"}
+
+    def addresses():
+        return sorted(json.loads(ask(server).body)["addresses"])
+
+    assert addresses() == ["h:1", "h:5", "h:6"]
+    server.configure(configured(1, first, second, free))
+    assert addresses() == ["h:1"]
+    server.configure(configured(2, first, free))
+    assert addresses() == ["h:1", "h:5", "h:6"]
+    server.configure(configured(3, free))
+    assert addresses() == ["h:1", "h:5", "h:6"]
