--- /dev/null
+++ b/tests/system/test_control_upgrade.py
@@ -0,0 +1,93 @@
+"""Replicas of the release before, which knew no leaves and no lives, in a cluster with those of this one."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from nettledeal.control.messages import NO_LIVES, Heartbeat, HeartbeatAck
+from nettledeal.control.replica import Replica
+from nettledeal.control.steps import Send
+from tests.system.control_rehearsal import Client, Machine, World, heal, settled
+
+LENGTH_S = 30.0
+STEP_S = 3.0
+
+
+def without_later_fields(message):
+    """A message as the release before writes and reads it."""
+    if isinstance(message, Heartbeat):
+        return msgspec.structs.replace(message, reader_life=NO_LIVES, released=False)
+    if isinstance(message, HeartbeatAck):
+        return msgspec.structs.replace(message, life=0, leaving=False)
+    return message
+
+
+class EarlierRelease(Replica):
+    """A replica of the release before: a backup ends without a word, and readers are granted no lives."""
+
+    def take(self):
+        step = super().take()
+        step.sends = [Send(send.host, without_later_fields(send.message), send.after) for send in step.sends]
+        return step
+
+    def receive(self, now, sender, message):
+        super().receive(now, sender, without_later_fields(message))
+
+    @property
+    def may_end(self) -> bool:
+        return self.primary is None
+
+
+class Upgraded:
+    """A world whose machines run the release that `releases` names for their host."""
+
+    def __init__(self, seed: int, first: type, then: type):
+        self.releases = {f"h{n}": first for n in range(3)}
+        self.then = then
+        self.world = World.__new__(World)
+        self.world.replica_type = lambda info, *arguments: self.releases[info.host](info, *arguments)
+        self.world.__init__(f"{seed} upgrade", 3)
+
+    def upgrade(self, host: str) -> None:
+        self.world.leave(self.world.machines[host], self._start_other)
+
+    def _start_other(self, machine: Machine) -> None:
+        self.releases[machine.host] = self.then
+        self.world.at(self.world.now + 0.5, self.world.start, machine)
+
+
+@pytest.mark.parametrize("order", [("h0", "h1", "h2"), ("h2", "h0", "h1")], ids="".join)
+@pytest.mark.parametrize(
+    ("first", "then"), [(EarlierRelease, Replica), (Replica, EarlierRelease)], ids=["up", "down"]
+)
+@pytest.mark.parametrize("seed", range(3))
+def test_releases_are_exchanged_one_machine_after_the_other(seed, first, then, order):
+    upgraded = Upgraded(seed, first, then)
+    world = upgraded.world
+    clients = [Client(world, f"c{n}", LENGTH_S) for n in range(2)]
+    for number, host in enumerate(order):
+        world.at(6.0 + STEP_S * number, upgraded.upgrade, host)
+    world.run(LENGTH_S + 2.0)
+    assert settled(world) == []
+    assert sum(client.answered for client in clients) > 30
+
+
+@pytest.mark.parametrize("primary", [EarlierRelease, Replica])
+def test_a_process_of_this_release_leaves_at_once_whatever_its_primary_s_release(primary):
+    upgraded = Upgraded(1, primary, Replica)
+    world = upgraded.world
+    world.run(6.0)
+    backup = next(machine for machine in world.running() if machine.replica.primary is None)
+    upgraded.releases[backup.host] = Replica
+    world.crash(backup)
+    world.start(backup)
+    world.run(10.0)
+    assert backup.replica.primary is None
+    ended = []
+    world.leave(backup, lambda machine: ended.append(world.now))
+    world.run(11.0)
+    assert ended
+    heal(world)
+    world.run(20.0)
+    assert settled(world) == []
