--- a/tests/system/control_rehearsal.py
+++ b/tests/system/control_rehearsal.py
@@ -25,6 +25,7 @@
 from nettledeal.control.state import ACCEPTED_PREFIX, ControlState, Outcome, PutConfiguration
 from nettledeal.control.steps import Durable, SaveChanges, SaveRanges, SaveWitness, Write
 from nettledeal.control.timing import Timing
+from tests.system.order_history import FOREVER, Answer, History, Put, Read
 
 SYNC_S = 0.005
 CALL_S = 1.0
@@ -119,6 +120,7 @@
         self.committed: dict[int, object] = {}
         self.acknowledged: dict[str, int] = {}
         self.on_accepted: list[Callable[[], None]] = []
+        self.history = History()
         for n in range(count):
             self.add(f"h{n}", f"z{n}", bootstrap=f"h{n}" in self.seeds)
 
@@ -411,6 +413,18 @@
             self.broken.append(f"a read of {state.sequence} lacks acknowledged orders {missing}")
 
 
+ANSWERS = {
+    Outcome.ACCEPTED: Answer.ACKNOWLEDGED,
+    Outcome.CONFLICT: Answer.REFUSED,
+    Outcome.INVALID: Answer.REFUSED,
+}
+
+
+def _put(command: PutConfiguration, began: float, ended: float, answer: Answer) -> Put:
+    name = command.body.decode()
+    return Put(name, command.expected_version, command.generation, began, ended, answer)
+
+
 class Client:
     """Sends orders, each until it has a clear answer, and reads between them."""
 
@@ -452,8 +466,19 @@
 
     def _try(self, order: Order) -> None:
         machine = self._machine()
-        if machine is not None:
-            self.world.submit(machine, order.command, lambda result: self._told(order, result))
+        if machine is None:
+            return
+        began = self.world.now
+        # Until an answer comes, the try may take effect at any time.
+        position = len(self.world.history.puts)
+        self.world.history.puts.append(_put(order.command, began, FOREVER, Answer.UNCLEAR))
+
+        def told(result: Outcome | ErrorCode) -> None:
+            answer = ANSWERS.get(result, Answer.UNCLEAR)
+            self.world.history.puts[position] = _put(order.command, began, self.world.now, answer)
+            self._told(order, result)
+
+        self.world.submit(machine, order.command, told)
 
     def _told(self, order: Order, result: Outcome | ErrorCode) -> None:
         if result is Outcome.ACCEPTED:
@@ -481,12 +506,14 @@
     def _read(self) -> None:
         machine = self._machine()
         if machine is not None:
-            acknowledged = set(self.world.acknowledged)
-            self.world.read(machine, lambda result: self._have_read(acknowledged, result))
+            acknowledged, began = set(self.world.acknowledged), self.world.now
+            self.world.read(machine, lambda result: self._have_read(acknowledged, began, result))
 
-    def _have_read(self, acknowledged: set[str], result: ControlState | ErrorCode) -> None:
+    def _have_read(self, acknowledged: set[str], began: float, result: ControlState | ErrorCode) -> None:
         if isinstance(result, ControlState):
             self.world.check_read(result, acknowledged)
+            name = (result.configuration or b"").decode()
+            self.world.history.reads.append(Read(name, began, self.world.now))
             self.generation = result.generation
 
 
@@ -713,13 +740,13 @@
     clients = [Client(world, f"c{n}", length_s + SETTLE_S / 2) for n in range(3)]
     Chaos(world, length_s)
     world.run(length_s)
-    if world.broken:
-        return world.broken
+    if world.broken or world.history.faults():
+        return world.broken + world.history.faults()
     before = sum(client.answered for client in clients)
     world.at(length_s, heal, world)
     world.at(length_s + 5.5, heal, world)
     world.run(length_s + SETTLE_S)
-    found = settled(world)
+    found = settled(world) + world.history.faults()
     if not found and sum(client.answered for client in clients) == before:
         found.append("no order was answered after the troubles")
     return found
