--- /dev/null
+++ b/tests/system/stale_program.py
@@ -0,0 +1,23 @@
+"""The program of `cut_program` with a fault: a primary answers reads without asking the others."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from nettledeal.common.settings import SETTINGS_VARIABLE
+from nettledeal.control.primary import Primary
+from system.cut_program import Cuts, cuts_path, install
+
+
+def read_unconfirmed(self, now: float, ticket: int) -> None:
+    """Answer from the own copy."""
+    self._outbox.answer(ticket, self._replicated.committed)
+
+
+if __name__ == "__main__":
+    from nettledeal.programs.main import main
+
+    Primary.read = read_unconfirmed
+    install(Cuts(cuts_path(Path(os.environ[SETTINGS_VARIABLE]))))
+    main()
