Control: a replica catches up while changes go on; what is kept, sent and held for one that is behind is bounded

A replica joins when it has synced all that is committed, not all that is latest, and one that is nearly there has commits wait for it (a silence at most).

Planted: ranges saved in two halves, caught.

--- a/src/nettledeal/control/backup.py
+++ b/src/nettledeal/control/backup.py
@@ -91,7 +91,9 @@
             return
         replicated, epoch = self.replicated, message.epoch
         if replicated.epoch == epoch and message.sequence <= replicated.latest.sequence:
-            self.outbox.send_synced(sender.host, Appended(epoch, replicated.latest.sequence))
+            # What is not synced yet is acknowledged when it is.
+            if replicated.durable_epoch == epoch and message.sequence <= replicated.durable_sequence:
+                self.outbox.send(sender.host, Appended(epoch, replicated.durable_sequence))
         elif isinstance(message, Append):
             self._on_append(sender, message)
         elif isinstance(message, Ranges):
--- a/src/nettledeal/control/peers.py
+++ b/src/nettledeal/control/peers.py
@@ -19,7 +19,7 @@
 
     `acked` is the sequence that it has synced of this epoch's primary, -1 before it was reconciled.
     `behind_since` is when it was first found not to have synced what was sent to it. `life` is its process's,
-    and `leaving` whether that is about to end.
+    and `leaving` whether that is about to end. `admitted_at`: since when commits wait for it to catch up.
     """
 
     info: ReplicaInfo
@@ -29,11 +29,14 @@
     sent: int = -1
     asked_at: float = NEVER
     progress_at: float = NEVER
+    resend_factor: int = 1
     behind_since: float | None = None
     storage_ok: bool = True
     reading_age_s: float | None = None
     life: int = NOT_GRANTED
     leaving: bool = False
+    admitted_at: float | None = None
+    admit_again_at: float = NEVER
     reconciling: ControlState | None = field(default=None, repr=False)
 
     def heard(self, now: float) -> None:
@@ -59,9 +62,10 @@
             self.sent = max(self.sent, sequence)
             self.progress_at = now
             self.behind_since = None
+            self.resend_factor = 1
 
     def candidate(self, now: float, sequence: int, timing: Timing) -> Candidate:
-        """Its standing in the choice of the next epoch, where the primary is at `sequence`."""
+        """Its standing in the choice of the next epoch, where joining takes all up to `sequence`."""
         live = self.live(now, timing)
         late = self.behind_since is not None and now - self.behind_since > timing.silence_s
         return Candidate(
--- a/src/nettledeal/control/primary.py
+++ b/src/nettledeal/control/primary.py
@@ -9,6 +9,7 @@
 
 from nettledeal.common.errors import ErrorCode
 from nettledeal.common.settings import FaultTolerance
+from nettledeal.control.change_log import ChangeLog
 from nettledeal.control.composition import Candidate, next_record, satisfies_floor
 from nettledeal.control.messages import (
     Decided,
@@ -18,13 +19,16 @@
 )
 from nettledeal.control.peers import BEATS_KEPT, NEVER, Contacts, Peer
 from nettledeal.control.replicated import Replicated
-from nettledeal.control.replication import Replication
+from nettledeal.control.replication import WINDOW_CHANGES, Replication
 from nettledeal.control.roles import Appointment, ReaderCandidate, ReaderRole
-from nettledeal.control.state import Change, Command, Outcome, decide
+from nettledeal.control.state import Command, Outcome, decide
 from nettledeal.control.steps import Outbox
 from nettledeal.control.timing import Timing
 
-LOG_CHANGES_KEPT = 64
+# Changes that may wait for their commit; what comes beyond them is refused for the moment.
+MAX_UNCOMMITTED = 256
+# A replica that lacks no more changes than this may have commits wait until it is caught up.
+ADMIT_WITHIN = WINDOW_CHANGES
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +67,9 @@
         self._replicated, self._outbox, self._timing, self._tolerance = replicated, outbox, timing, tolerance
         self._stored: set[str] = set()
         self._proposed: set[str] = set()
-        self._log: dict[int, tuple[Change, ...]] = {}
+        self._log = ChangeLog()
+        # Up to this sequence everything may have been acknowledged by a primary before.
+        self._begun_at = 0
         self._beat = 0
         self._beat_times: deque[tuple[int, float]] = deque(maxlen=BEATS_KEPT)
         self._heartbeat_at = now
@@ -91,13 +97,14 @@
             return
         if len(self._stored & self.record.voter_ids) >= self.record.majority:
             self.acting = True
-            self._replicated.adopt(self.record.epoch, self._replicated.latest.sequence)
+            self._begun_at = self._replicated.latest.sequence
+            self._replicated.adopt(self.record.epoch, self._begun_at)
 
     # Commands and reads
 
     def submit(self, now: float, ticket: int, command: Command) -> None:
         """Decide a command; it is answered once its changes are committed everywhere."""
-        if not self.acting:
+        if not self.acting or self._uncommitted_count >= MAX_UNCOMMITTED:
             self._outbox.answer(ticket, ErrorCode.UNAVAILABLE)
             return
         decision = decide(self._replicated.latest, command)
@@ -106,8 +113,7 @@
             return
         sequence = self._replicated.latest.sequence + 1
         self._replicated.append(self.record.epoch, sequence, decision.changes)
-        self._log[sequence] = decision.changes
-        self._log.pop(sequence - LOG_CHANGES_KEPT, None)
+        self._log.append(sequence, decision.changes)
         self.waiting.append(Waiting(ticket, sequence, 0, decision.outcome))
         for peer in self.peers.values():
             self._send_appends(now, peer)
@@ -125,8 +131,39 @@
         self.progress(now)
 
     def required(self) -> set[str]:
-        """The peers without whose sync nothing is committed: in sync, or proposed to be."""
-        return (set(self.record.in_sync) | self._proposed) - {self.info.replica_id}
+        """The peers without whose sync nothing is committed: in sync, proposed to be, or admitted."""
+        admitted = {name for name, peer in self.peers.items() if peer.admitted_at is not None}
+        return (set(self.record.in_sync) | self._proposed | admitted) - {self.info.replica_id}
+
+    @property
+    def _uncommitted_count(self) -> int:
+        return self._replicated.latest.sequence - max(self._begun_at, self._replicated.committed_sequence)
+
+    @property
+    def _joining_sequence(self) -> int:
+        """What a replica must have synced to join: all that may have been acknowledged so far."""
+        return max(self._begun_at, self._replicated.committed_sequence)
+
+    def admit(self, now: float) -> None:
+        """Have commits wait for replicas that are nearly caught up.
+
+        While changes go on without a pause, one that is farther away than the others would trail for ever.
+        One that does not catch up within the bound of silence is let go for a while.
+        """
+        for name, peer in self.peers.items():
+            if name in self.record.in_sync or name in self._proposed:
+                peer.admitted_at = None
+            elif peer.admitted_at is not None:
+                if now - peer.admitted_at > self._timing.silence_s:
+                    peer.admitted_at, peer.admit_again_at = None, now + self._timing.gone_s
+            elif now >= peer.admit_again_at and self._nearly_caught_up(now, peer):
+                peer.admitted_at = now
+
+    def _nearly_caught_up(self, now: float, peer: Peer) -> bool:
+        candidate = peer.candidate(now, self._joining_sequence, self._timing)
+        if not candidate.usable or candidate.leaving or candidate.caught_up:
+            return False
+        return peer.acked >= 0 and self._replicated.latest.sequence - peer.acked <= ADMIT_WITHIN
 
     def propose(self, record: EpochRecord) -> None:
         """A record is about to be proposed: its members must have all that is committed from now on."""
@@ -232,7 +269,7 @@
 
     def candidates(self, now: float) -> dict[str, Candidate]:
         """All replicas known, this one included."""
-        sequence = self._replicated.latest.sequence
+        sequence = self._joining_sequence
         found = {name: peer.candidate(now, sequence, self._timing) for name, peer in self.peers.items()}
         found[self.info.replica_id] = Candidate(self.info, True, self.storage_ok, True)
         return found
--- a/src/nettledeal/control/replica.py
+++ b/src/nettledeal/control/replica.py
@@ -331,6 +331,7 @@
         if self.proposer is not None or now < self._change_at:
             return
         primary = self.primary
+        primary.admit(now)
         record = primary.transfer_record(now) if self.leaving else primary.wanted_record(now)
         if record is None or primary.quiet(now):
             return
--- a/src/nettledeal/control/replication.py
+++ b/src/nettledeal/control/replication.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from nettledeal.control.change_log import ChangeLog
 from nettledeal.control.messages import (
     Append,
     Appended,
@@ -16,10 +17,15 @@
 )
 from nettledeal.control.peers import Peer
 from nettledeal.control.replicated import Replicated, range_digests, range_entries
-from nettledeal.control.state import Change
 from nettledeal.control.steps import Outbox
 from nettledeal.control.timing import Timing
 
+# What may be on its way to one replica unacknowledged.
+WINDOW_CHANGES = 128
+WINDOW_BYTES = 256 << 10
+# One that acknowledges nothing is sent the same again ever more rarely, up to this multiple of the time.
+MAX_RESEND_FACTOR = 4
+
 
 class Replication:
     """Sends each peer what it lacks of the latest version, and takes its acknowledgements."""
@@ -31,7 +37,7 @@
     _outbox: Outbox
     _timing: Timing
     _stored: set[str]
-    _log: dict[int, tuple[Change, ...]]
+    _log: ChangeLog
 
     def progress(self, now: float) -> bool:
         """Commit and answer what has become so; whether anything was committed."""
@@ -84,16 +90,28 @@
             peer.behind_since = now
         if peer.acked < 0:
             return
-        if now - peer.progress_at > self._timing.resend_s:
+        if now - peer.progress_at > self._timing.resend_s * peer.resend_factor:
+            if peer.sent > peer.acked:
+                peer.resend_factor = min(MAX_RESEND_FACTOR, 2 * peer.resend_factor)
             peer.sent, peer.progress_at = peer.acked, now
+        if not peer.live(now, self._timing):
+            return
         for sequence in range(peer.sent + 1, latest + 1):
             changes = self._log.get(sequence)
             if changes is None:
                 self._reconcile(now, peer)
                 return
+            if self._window_is_full(peer):
+                return
             committed = self._replicated.committed_sequence
             self._send(peer, Append(self.record.epoch, sequence, changes, committed))
             peer.sent = sequence
 
+    def _window_is_full(self, peer: Peer) -> bool:
+        """Whether a peer has to acknowledge something before it is sent more."""
+        if peer.sent - peer.acked >= WINDOW_CHANGES:
+            return True
+        return self._log.bytes_between(peer.acked, peer.sent) >= WINDOW_BYTES
+
     def _send(self, peer: Peer, message: object) -> None:
         self._outbox.send(peer.info.host, message)
--- a/tests/system/control_rehearsal.py
+++ b/tests/system/control_rehearsal.py
@@ -107,6 +107,7 @@
         self.event_count = 0
         self.loss = self.repeats = 0.0
         self.delay_s, self.jitter_s = 0.005, 0.02
+        self.far: dict[str, float] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.greeted: set[tuple[str, int, str, int]] = set()
         self.only_to: dict[str, tuple[type, ...]] = {}
@@ -342,7 +343,8 @@
         if (machine.host, host) in self.cuts or self.random.random() < self.loss:
             return
         for _ in range(2 if self.random.random() < self.repeats else 1):
-            when = self.now + self.delay_s + self.random.random() * self.jitter_s
+            far_s = self.far.get(machine.host, 0.0) + self.far.get(host, 0.0)
+            when = self.now + self.delay_s + far_s + self.random.random() * self.jitter_s
             self.at(when, self._arrive, host, machine.replica.info, message, None)
 
     def _arrive(self, host: str, sender: ReplicaInfo, message: Message, life: int | None) -> None:
@@ -714,8 +716,11 @@
     if set(primary.record.voter_ids) != identities:
         found.append(f"voters {sorted(primary.record.voter_ids)}, running {sorted(identities)}")
     for machine in running:
-        if machine.replica.replicated.committed_sequence != primary.replicated.committed_sequence:
-            found.append(f"{machine.host} has committed {machine.replica.replicated.committed_sequence}")
+        copy = machine.replica.replicated
+        if copy.committed_sequence != primary.replicated.committed_sequence:
+            found.append(f"{machine.host} has committed {copy.committed_sequence}")
+        elif copy.committed is not None and copy.committed.entries != primary.replicated.committed.entries:
+            found.append(f"{machine.host} holds another state at {copy.committed_sequence}")
     missing = [
         digest
         for digest in world.acknowledged
