Explorer: numbered states, spent messages left out, leaves, and that one further loss is survived from every state

Bounds that were cut off at 4,000 states are seen whole by the tests (one election; one order with a crash; one order with a lost disk), and leaves of three and four replicas are among them. Planted: a process that ends without agreement, and a number of voters that stays even; both show.

--- a/tests/system/control_exploring.py
+++ b/tests/system/control_exploring.py
@@ -2,39 +2,41 @@
 
 A state is what the replicas hold, what is on their disks and what is on its way. Messages of one replica to
 another arrive in order, at any time or never, and a link may be reset with all that is on it; a replica may
-suspect its primary, be dropped, crash or lose its disk at any moment. Clocks are left out, so nobody is loyal
-to a primary because it was heard lately. (Any order on one link is drawn by `control_rehearsal`.)
+suspect its primary, be dropped, leave, crash or lose its disk at any moment. Clocks are left out, so nobody
+is loyal to a primary because it was heard lately. (Any order on one link is drawn by `control_rehearsal`.)
+
+Two reductions keep the number of states down. Of heartbeats and their answers the latest on a link stands for
+those before it. Messages that can change nothing any more are left out as soon as that is so.
+
+Run as a module it explores whole bounds: `python -m tests.system.control_exploring [STATES]`.
 """
 
 from __future__ import annotations
 
-import pickle
+import sys
+import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
 from pyrsistent import pmap
 
-from nettledeal.common.settings import FaultTolerance
 from nettledeal.control.epochs import WitnessState
-from nettledeal.control.messages import Decided, EpochRecord, Heartbeat, HeartbeatAck, Message, ReplicaInfo
-from nettledeal.control.peers import NEVER
+from nettledeal.control.messages import Decided, EpochRecord, ReplicaInfo
 from nettledeal.control.replica import Replica
 from nettledeal.control.state import ACCEPTED_PREFIX, ControlState, Outcome, PutConfiguration
 from nettledeal.control.steps import Answer, Durable
-from nettledeal.control.timing import Timing
-from tests.system.control_rehearsal import write_to
+from tests.system.exploring_replicas import TOLERANCE, Event, Explored, Moved, Replicas, View
 
-TOLERANCE = FaultTolerance(machines=1)
-TIMING = Timing()
-START_S = 100.0
-Event = tuple
-Link = tuple[str, str]
+ENDED = None
 
 
 @dataclass(frozen=True)
 class Bounds:
-    """How often each thing may happen on one path."""
+    """How often each thing may happen on one path; `count` is the number of replicas.
+
+    With four the last has come in the zone of the third, whose place it is to take.
+    """
 
     elections: int = 2
     orders: int = 1
@@ -44,6 +46,8 @@
     wipes: int = 0
     beats: int = 0
     resets: int = 0
+    leaves: int = 0
+    count: int = 3
     states: int = 20_000
 
 
@@ -57,69 +61,10 @@
     path: tuple[str, ...] = ()
 
 
-class Counter:
-    """In place of a random source: its draws differ and are the same on each way to a state."""
-
-    def __init__(self, drawn: int) -> None:
-        self.drawn = drawn
-
-    def random(self) -> float:
-        return 0.5
-
-    def getrandbits(self, _: int) -> int:
-        self.drawn += 1
-        return self.drawn
-
-
-class Explored(Replica):
-    """A replica that takes part in every election."""
-
-    def _hears_primary(self, now, sender, message) -> bool:
-        return False
-
-
-@dataclass
-class Local:
-    """A replica with its disk, as it is pickled."""
-
-    replica: Replica
-    durable: Durable
-    life: int
-
-
-@dataclass(frozen=True)
-class View:
-    """What may happen to a replica, and what it shows."""
-
-    host: str
-    info: ReplicaInfo
-    life: int
-    record: EpochRecord
-    may_lead: bool
-    may_go_on: bool
-    acting_in: int | None
-    droppable: tuple[str, ...]
-    committed: tuple[int, tuple] | None
-    lead_entries: frozenset[str] | None
-
-
-@dataclass(frozen=True)
-class Moved:
-    """What one event leads to at one replica."""
-
-    after: int
-    sends: tuple[tuple[str, Message], ...]
-    answers: tuple[Answer, ...]
-
-
 @dataclass(frozen=True)
-class State:
-    """A state of the whole system; `replicas` are numbers of known local states, by host."""
+class Past:
+    """What has happened on the way, as far as promises depend on it."""
 
-    replicas: tuple[tuple[str, int], ...]
-    sent: tuple[tuple[Link, tuple[Message, ...]], ...]
-    senders: tuple[tuple[str, ReplicaInfo], ...]
-    left: Bounds
     acknowledged: frozenset[str] = frozenset()
     pending: tuple[tuple[int, str, frozenset[str]], ...] = ()
     records: frozenset[EpochRecord] = frozenset()
@@ -127,19 +72,23 @@
     actors: frozenset[tuple[int, str, int]] = frozenset()
 
 
-class Explorer:
-    """Breadth first, so the way told of a broken promise is a shortest one.
+# Numbers of local states by host, ENDED for a process that has left; numbers of messages by link; what may
+# still happen; the number of a `Past`.
+State = tuple[tuple[int | None, ...], tuple[tuple[int, ...], ...], Bounds, int]
 
-    What an event does to one replica is worked out once and remembered: the same happens in many states.
-    """
 
-    def __init__(self, bounds: Bounds, replica_type: Callable[..., Replica] = Explored, count: int = 3):
-        self.bounds, self.replica_type = bounds, replica_type
-        self.hosts = [f"h{n}" for n in range(count)]
-        self._numbers: dict[str, int] = {}
-        self._packed: list[bytes] = []
-        self._views: list[View] = []
-        self._moves: dict[tuple[int, str], Moved] = {}
+class Explorer:
+    """Breadth first, so the way told of a broken promise is a shortest one."""
+
+    def __init__(self, bounds: Bounds, replica_type: Callable[..., Replica] = Explored):
+        self.bounds = bounds
+        self.hosts = [f"h{n}" for n in range(bounds.count)]
+        self.replicas = Replicas(self.hosts, replica_type)
+        self._pasts: list[Past] = []
+        self._past_numbers: dict[Past, int] = {}
+        self._survivals: dict[tuple, str] = {}
+        self._counted: dict[tuple[int, int, tuple[int, ...]], tuple[int, ...]] = {}
+        self._looks: dict[tuple[int, int], int | str] = {}
 
     def explore(self) -> Found:
         """All that can be reached within the bounds, from a settled first epoch."""
@@ -158,107 +107,55 @@
                 return Found(len(seen), False)
         return Found(len(seen), True)
 
-    # Local states
-
-    def _remember(self, local: Local) -> int:
-        key = repr((local.life, local.durable, _replica_key(local.replica)))
-        number = self._numbers.get(key)
-        if number is None:
-            number = self._numbers[key] = len(self._packed)
-            self._packed.append(pickle.dumps(local))
-            self._views.append(_view(local))
-        return number
-
-    def _begin(self, info: ReplicaInfo, durable: Durable, life: int) -> Local:
-        replica = self.replica_type(info, durable, TIMING, TOLERANCE, Counter(1000 * life), START_S)
-        return Local(replica, durable, life)
-
-    def _move(self, number: int, event: Event) -> Moved:
-        key = (number, repr(event))
-        if key not in self._moves:
-            self._moves[key] = self._work_out(pickle.loads(self._packed[number]), event)
-        return self._moves[key]
-
-    def _work_out(self, local: Local, event: Event) -> Moved:
-        """Apply an event and carry out what follows; writes are synced before anything is sent."""
-        local = self._apply(local, event)
-        replica, sends, answers = local.replica, [], []
-        step = replica.take()
-        while step:
-            for _, write in step.writes:
-                local.durable = write_to(local.durable, write)
-            if step.writes:
-                replica.synced(START_S, step.writes[-1][0])
-            for send in step.sends:
-                if send.host == replica.info.host:
-                    replica.receive(START_S, replica.info, send.message)
-                else:
-                    sends.append((send.host, send.message))
-            answers += step.answers
-            step = replica.take()
-        return Moved(self._remember(local), tuple(sends), tuple(answers))
-
-    def _apply(self, local: Local, event: Event) -> Local:
-        replica = local.replica
-        match event:
-            case ("receive", sender, message):
-                replica.receive(START_S, sender, message)
-            case ("stand",):
-                replica._start_election(START_S)
-            case ("go on",):
-                replica._enter_second_phase(START_S)
-            case ("order", ticket, order):
-                replica.submit(START_S, ticket, order)
-            case ("read", ticket):
-                replica.read(START_S, ticket)
-            case ("beat",):
-                replica.primary.heartbeat(START_S)
-            case ("drop", name):
-                replica.primary.peers[name].heard_at = NEVER
-                replica._propose_change(START_S)
-            case ("restart",):
-                return self._begin(replica.info, local.durable, local.life + 1)
-            case ("wipe", identity):
-                info = ReplicaInfo(identity, replica.info.host, replica.info.zone, "r", "")
-                return self._begin(info, Durable(WitnessState(), -1, ControlState(0, pmap())), local.life + 1)
-        return local
-
-    # States of the system
+    # The first state
 
     def _settled(self) -> State:
-        voters = tuple(ReplicaInfo(f"{host}-seed", host, f"z{host}", "r", "") for host in self.hosts)
+        """The first epoch, acting at the first host and known to all."""
+        zones = [f"z{min(number, 2)}" for number in range(len(self.hosts))]
+        voters = tuple(
+            ReplicaInfo(f"{host}-seed", host, zone, "r", "", int(number == 3))
+            for number, (host, zone) in enumerate(zip(self.hosts, zones, strict=True))
+        )
         record = EpochRecord(0, "", tuple(voter.replica_id for voter in voters), voters)
         durable = Durable(WitnessState(record), -1, ControlState(0, pmap()))
-        numbers = [(voter.host, self._remember(self._begin(voter, durable, 1))) for voter in voters]
-        state = State(tuple(numbers), (), tuple((voter.host, voter) for voter in voters), self.bounds)
-        state = self._happen(state, self.hosts[0], ("stand",))
-        for _ in range(4):
-            while state.sent:
-                (link, (message, *_)), *_ = state.sent
-                sender = dict(state.senders)[link[0]]
-                state = self._happen(_without_first(state, link), link[1], ("receive", sender, message))
-            state = self._happen(state, self.hosts[0], ("beat",))
-        view = self._views[dict(state.replicas)[self.hosts[0]]]
+        numbers = tuple(self.replicas.begin(voter, durable, 1) for voter in voters)
+        links = ((),) * len(self.hosts) ** 2
+        state: State = (numbers, links, self.bounds, self._past_number(Past()))
+        state = self._happen(state, 0, ("stand",))
+        for _ in range(6):
+            while any(state[1]):
+                link = next(number for number, messages in enumerate(state[1]) if messages)
+                state = self._deliver_first(state, link)
+            state = self._happen(state, 0, ("beat",))
+        view = self.replicas.views[state[0][0]]
         assert view.acting_in == 1 and view.committed is not None
-        return replace(state, sent=())
+        return (state[0], links, self.bounds, state[3])
+
+    # Steps
 
     def _next_states(self, state: State) -> Iterator[tuple[str, State | str]]:
-        senders = dict(state.senders)
-        left = state.left
-        for link, messages in state.sent:
-            event = ("receive", senders[link[0]], messages[0])
-            what = f"{link[0]} to {link[1]}: {type(messages[0]).__name__}"
-            yield what, self._happen(_without_first(state, link), link[1], event)
+        numbers, sent, left, past = state
+        for link, messages in enumerate(sent):
+            if not messages:
+                continue
+            source, target = divmod(link, len(self.hosts))
+            name = f"{self.hosts[source]} to {self.hosts[target]}"
+            content = type(self.replicas.messages[messages[0]]).__name__
+            yield f"{name}: {content}", self._deliver_first(state, link)
             if left.resets:
                 spent = replace(left, resets=left.resets - 1)
-                sent = tuple(entry for entry in state.sent if entry[0] != link)
-                yield f"{link[0]} to {link[1]} is reset", replace(state, sent=sent, left=spent)
-        for host, number in state.replicas:
-            for what, event, spent in self._events(state, host, self._views[number]):
-                yield f"{host} {what}", self._happen(replace(state, left=spent), host, event)
-
-    def _events(self, state: State, host: str, view: View) -> Iterator[tuple[str, Event, Bounds]]:
-        left = state.left
+                yield f"{name} is reset", (numbers, _without(sent, link), spent, past)
+        for host, number in enumerate(numbers):
+            if number is ENDED:
+                continue
+            view = self.replicas.views[number]
+            if view.may_end:
+                yield f"{self.hosts[host]} ends", self._end(state, host)
+            for what, event, spent in self._events(left, self.hosts[host], view):
+                after = self._happen((numbers, sent, spent, past), host, event)
+                yield f"{self.hosts[host]} {what}", after
+
+    def _events(self, left: Bounds, host: str, view: View) -> Iterator[tuple[str, Event, Bounds]]:
         if view.may_go_on:
             yield "goes on", ("go on",), left
         if left.elections and view.may_lead:
@@ -267,6 +164,8 @@
             yield "restarts", ("restart",), replace(left, crashes=left.crashes - 1)
         if left.wipes:
             yield "loses its disk", ("wipe", f"{host}-{view.life}"), replace(left, wipes=left.wipes - 1)
+        if left.leaves and not view.leaving:
+            yield "leaves", ("leave",), replace(left, leaves=left.leaves - 1)
         if view.acting_in is None:
             return
         ticket = left.orders + 100 * left.reads
@@ -282,39 +181,194 @@
             for name in view.droppable:
                 yield f"drops {name}", ("drop", name), replace(left, drops=left.drops - 1)
 
-    def _happen(self, state: State, host: str, event: Event) -> State | str:
+    def _deliver_first(self, state: State, link: int) -> State | str:
+        numbers, sent, left, past = state
+        source, target = divmod(link, len(self.hosts))
+        message, *rest = sent[link]
+        sent = (*sent[:link], tuple(rest), *sent[link + 1 :])
+        if numbers[target] is ENDED or numbers[source] is ENDED:
+            return (numbers, sent, left, past)
+        moved = self.replicas.deliver(numbers[target], numbers[source], message)
+        return self._moved((numbers, sent, left, past), target, moved, ())
+
+    def _end(self, state: State, host: int) -> State | str:
+        numbers, sent, left, past = state
+        sent = tuple(() if host in divmod(link, len(self.hosts)) else way for link, way in enumerate(sent))
+        state = ((*numbers[:host], ENDED, *numbers[host + 1 :]), sent, left, past)
+        return self._survives(state) or state
+
+    def _happen(self, state: State, host: int, event: Event) -> State | str:
         """The state after an event, or which promise it broke."""
-        numbers = dict(state.replicas)
-        moved = self._move(numbers[host], event)
-        numbers[host] = moved.after
-        view = self._views[moved.after]
-        senders = dict(state.senders) | {host: view.info}
-        sent = dict(state.sent)
+        numbers, sent, left, past = state
+        moved = self.replicas.happen(numbers[host], event)
         if event[0] in ("restart", "wipe"):
-            sent = {link: messages for link, messages in sent.items() if host not in link}
+            sent = tuple(
+                () if host in divmod(link, len(self.hosts)) else way for link, way in enumerate(sent)
+            )
         if event[0] == "wipe":
-            other = next(other for other in self.hosts if other != host)
-            latest = max(state.records, key=lambda record: record.epoch)
-            sent[(other, host)] = (Decided(latest),)
-        for target, message in moved.sends:
-            sent[(host, target)] = _queued(sent.get((host, target), ()), message)
-        pending = state.pending
+            sent = self._told_the_latest(sent, host, past)
+        pending = ()
         if event[0] == "order":
-            pending += ((event[1], event[2].digest.hex(), frozenset()),)
+            pending = ((event[1], event[2].digest.hex(), frozenset()),)
         elif event[0] == "read":
-            pending += ((event[1], "", state.acknowledged),)
-        state = replace(
-            state,
-            replicas=tuple(sorted(numbers.items())),
-            sent=tuple(sorted(sent.items(), key=lambda entry: entry[0])),
-            senders=tuple(sorted(senders.items(), key=lambda entry: entry[0])),
-            pending=pending,
-        )
+            pending = ((event[1], "", self._pasts[past].acknowledged),)
+        return self._moved((numbers, sent, left, past), host, moved, pending)
+
+    def _told_the_latest(self, sent, host: int, past: int):
+        """Another replica greets one that comes back with an empty disk."""
+        latest = max(self._pasts[past].records, key=lambda record: record.epoch)
+        link = (0 if host else 1) * len(self.hosts) + host
+        return (*sent[:link], (self.replicas.number_of(Decided(latest)),), *sent[link + 1 :])
+
+    def _moved(self, state: State, host: int, moved: Moved, pending: tuple) -> State | str:
+        numbers, sent, left, past_number = state
+        if moved.after != numbers[host]:
+            numbers = (*numbers[:host], moved.after, *numbers[host + 1 :])
+        sent = self._with_sends(sent, host, moved)
+        past = self._pasts[past_number]
+        if pending:
+            past = replace(past, pending=past.pending + pending)
         for answer in moved.answers:
-            state = _answered(state, answer)
-            if isinstance(state, str):
-                return state
-        return _checked(state, view)
+            past = _answered(past, answer)
+            if isinstance(past, str):
+                return past
+        past_number = self._look(self._past_number(past), moved.after)
+        if isinstance(past_number, str):
+            return past_number
+        # A drop could make a message count again.
+        if not left.drops:
+            sent = self._without_spent(numbers, sent, host)
+        state = (numbers, sent, left, past_number)
+        return self._survives(state) or state
+
+    def _with_sends(self, sent, host: int, moved: Moved):
+        if not moved.sends:
+            return sent
+        ways = list(sent)
+        for target, message in moved.sends:
+            link = host * len(self.hosts) + target
+            ways[link] = self._queued(ways[link], message)
+        return tuple(ways)
+
+    def _queued(self, messages: tuple[int, ...], message: int) -> tuple[int, ...]:
+        if message in messages:
+            return messages
+        if self.replicas.is_beat(message):
+            kind = type(self.replicas.messages[message])
+            messages = tuple(
+                earlier for earlier in messages if type(self.replicas.messages[earlier]) is not kind
+            )
+        return (*messages, message)
+
+    def _without_spent(self, numbers, sent, host: int):
+        """Without messages from or to a host that can change nothing."""
+        count = len(self.hosts)
+        ways = list(sent)
+        for other in range(count):
+            if ENDED in (numbers[host], numbers[other]):
+                continue
+            for source, target in ((host, other), (other, host)):
+                link = source * count + target
+                if ways[link]:
+                    ways[link] = self._counting(numbers[target], numbers[source], ways[link])
+        return tuple(ways)
+
+    def _counting(self, target: int, source: int, messages: tuple[int, ...]) -> tuple[int, ...]:
+        key = (target, source, messages)
+        if key not in self._counted:
+            self._counted[key] = tuple(
+                message for message in messages if not self.replicas.is_spent(target, source, message)
+            )
+        return self._counted[key]
+
+    def _look(self, past: int, number: int) -> int | str:
+        """The past with what a replica shows, or which promise it broke."""
+        key = (past, number)
+        if key not in self._looks:
+            checked = _checked(self._pasts[past], self.replicas.views[number])
+            self._looks[key] = checked if isinstance(checked, str) else self._past_number(checked)
+        return self._looks[key]
+
+    def _past_number(self, past: Past) -> int:
+        number = self._past_numbers.get(past)
+        if number is None:
+            number = self._past_numbers[past] = len(self._pasts)
+            self._pasts.append(past)
+        return number
+
+    # One further loss
+
+    def _survives(self, state: State) -> str:
+        """Empty if each machine that the tolerance allows may be lost now; else what would be missing."""
+        numbers, _, _, past = state
+        key = (numbers, self._pasts[past].acknowledged)
+        if key not in self._survivals:
+            views = [self.replicas.views[number] for number in numbers if number is not ENDED]
+            self._survivals[key] = _missing_after_a_loss(views, self._pasts[past])
+        return self._survivals[key]
+
+
+def _missing_after_a_loss(views: list[View], past: Past) -> str:
+    record = _stored_record(views, past)
+    if record is None or len(views) < 2:
+        return ""
+    alive = {view.info.replica_id for view in views}
+    # Of an odd number one that was stopped is awaited with its disk; an even number has to do without it.
+    awaited = record.voter_ids - alive if len(record.voters) % 2 else frozenset()
+    behind = {name for name in alive if name not in record.in_sync}
+    wiped = _lost_disks(record, views)
+    if len(behind) + len(wiped) >= TOLERANCE.machines:
+        return ""
+    for lost in views:
+        rest = [view for view in views if view is not lost]
+        names = {view.info.replica_id for view in rest}
+        if not _can_agree(rest, names | (awaited - wiped)):
+            return f"no majority is left once {lost.info.host} loses its disk"
+        if not any(_is_complete(view, record, past) for view in rest):
+            return f"nobody has all that was acknowledged once {lost.info.host} loses its disk"
+    return ""
+
+
+def _lost_disks(record: EpochRecord, views: list[View]) -> set[str]:
+    """Voters at whose address another identity lives by now."""
+    identities = {view.info.host: view.info.replica_id for view in views}
+    return {
+        voter.replica_id
+        for voter in record.voters
+        if identities.get(voter.host, voter.replica_id) != voter.replica_id
+    }
+
+
+def _stored_record(views: list[View], past: Past) -> EpochRecord | None:
+    """The latest record that a majority of its voters has stored."""
+    for record in sorted(past.records, key=lambda record: -record.epoch):
+        holders = [
+            view
+            for view in views
+            if view.info.replica_id in record.voter_ids and view.record.epoch >= record.epoch
+        ]
+        if record.epoch > 0 and len(holders) >= record.majority:
+            return record
+    return None
+
+
+def _can_agree(views: list[View], names: set[str]) -> bool:
+    """Whether those that remain can decide an epoch: a majority of the last known, and of what may follow."""
+    known = max((view.record for view in views), key=lambda record: record.epoch)
+    if len(known.voter_ids & names) < known.majority:
+        return False
+    proposed = {
+        view.accepted
+        for view in views
+        if view.accepted is not None and view.accepted.epoch == known.epoch + 1
+    }
+    return all(len(record.voter_ids & names) >= record.majority for record in proposed)
+
+
+def _is_complete(view: View, record: EpochRecord, past: Past) -> bool:
+    if view.info.replica_id not in record.in_sync:
+        return False
+    return all(ACCEPTED_PREFIX + digest in view.entries for digest in past.acknowledged)
 
 
 def _steps(path: tuple) -> tuple[str, ...]:
@@ -325,41 +379,33 @@
     return tuple(reversed(steps))
 
 
-def _queued(messages: tuple[Message, ...], message: Message) -> tuple[Message, ...]:
-    """Of heartbeats and their answers the latest on a link stands for those before it."""
-    if isinstance(message, (Heartbeat, HeartbeatAck)):
-        messages = tuple(earlier for earlier in messages if type(earlier) is not type(message))
-    return messages if message in messages else (*messages, message)
+def _without(sent, link: int):
+    return (*sent[:link], (), *sent[link + 1 :])
 
 
-def _without_first(state: State, link: Link) -> State:
-    sent = tuple((known, messages[1:] if known == link else messages) for known, messages in state.sent)
-    return replace(state, sent=tuple(entry for entry in sent if entry[1]))
-
-
-def _answered(state: State, answer: Answer) -> State | str:
-    for ticket, digest, before in state.pending:
+def _answered(past: Past, answer: Answer) -> Past | str:
+    for ticket, digest, before in past.pending:
         if ticket != answer.ticket:
             continue
         if answer.result is Outcome.ACCEPTED:
-            state = replace(state, acknowledged=state.acknowledged | {digest})
+            past = replace(past, acknowledged=past.acknowledged | {digest})
         elif isinstance(answer.result, ControlState):
             missing = [
                 earlier for earlier in before if ACCEPTED_PREFIX + earlier not in answer.result.entries
             ]
             if missing:
                 return f"a read lacks {missing}"
-    return replace(state, pending=tuple(entry for entry in state.pending if entry[0] != answer.ticket))
+    return replace(past, pending=tuple(entry for entry in past.pending if entry[0] != answer.ticket))
 
 
-def _checked(state: State, view: View) -> State | str:
-    """The state with what a replica shows remembered, or which promise it broke."""
-    if len({record.epoch for record in state.records | {view.record}}) < len(state.records | {view.record}):
+def _checked(past: Past, view: View) -> Past | str:
+    """The past with what a replica shows, or which promise it broke."""
+    records = past.records | {view.record}
+    if len({record.epoch for record in records}) < len(records):
         return f"epoch {view.record.epoch} was decided twice"
-    records = state.records | {view.record}
-    actors, committed = state.actors, state.committed
+    actors, committed = past.actors, past.committed
     if view.acting_in is not None:
-        actors |= {(view.acting_in, view.host, view.life)}
+        actors |= {(view.acting_in, view.info.host, view.life)}
         if len({epoch for epoch, _, _ in actors}) < len(actors):
             return f"two lives acted in epoch {view.acting_in}"
     if view.committed is not None:
@@ -367,65 +413,53 @@
         if len({sequence for sequence, _ in committed}) < len(committed):
             return f"two states were committed as {view.committed[0]}"
     newest = max(record.epoch for record in records)
-    if view.lead_entries is not None and view.acting_in == newest:
-        lost = [digest for digest in state.acknowledged if ACCEPTED_PREFIX + digest not in view.lead_entries]
+    if view.acting_in == newest:
+        lost = [digest for digest in past.acknowledged if ACCEPTED_PREFIX + digest not in view.entries]
         if lost:
             return f"acknowledged orders are lost: {lost}"
-    return replace(state, records=records, actors=actors, committed=committed)
-
-
-def _view(local: Local) -> View:
-    replica = local.replica
-    primary, proposer, committed = replica.primary, replica.proposer, replica.replicated.committed
-    acting = primary is not None and primary.acting
-    others = [name for name in primary.record.in_sync if name != replica.info.replica_id] if acting else []
-    return View(
-        host=replica.info.host,
-        info=replica.info,
-        life=local.life,
-        record=replica.record or EpochRecord(-1, "", (), ()),
-        may_lead=primary is None and replica._may_lead(),
-        may_go_on=bool(
-            proposer and not proposer.proposal and len(proposer.promises) >= proposer.base.majority
-        ),
-        acting_in=primary.record.epoch if acting else None,
-        droppable=tuple(others) if proposer is None else (),
-        committed=committed and (committed.sequence, tuple(sorted(committed.entries.items()))),
-        lead_entries=frozenset(replica.replicated.latest.entries) if acting else None,
-    )
-
-
-def _replica_key(replica: Replica) -> tuple:
-    copy, proposer, primary = replica.replicated, replica.proposer, replica.primary
-    return (
-        replica.info.replica_id,
-        replica.witness.state,
-        replica.random.drawn,
-        (copy.epoch, copy.latest.sequence, sorted(copy.latest.entries.items()), copy.committed_sequence),
-        proposer
-        and (
-            proposer.ballot,
-            sorted(proposer.promises.items()),
-            sorted(proposer.accepted_by),
-            proposer.proposal,
-            sorted(replica._rejected_by),
-        ),
-        primary and _primary_key(primary),
-    )
-
-
-def _primary_key(primary) -> tuple:
-    peers = [
-        (name, peer.acked, peer.sent, peer.beat, peer.reconciling and peer.reconciling.sequence)
-        for name, peer in sorted(primary.peers.items())
-    ]
-    dropped = sorted(name for name, peer in primary.peers.items() if peer.heard_at == NEVER)
-    return (
-        primary.record.epoch,
-        sorted(primary._stored),
-        sorted(primary._proposed),
-        peers,
-        dropped,
-        primary.waiting,
-        primary._beat,
-    )
+    if (records, actors, committed) == (past.records, past.actors, past.committed):
+        return past
+    return replace(past, records=records, actors=actors, committed=committed)
+
+
+WHOLE_BOUNDS = [
+    Bounds(elections=1, orders=0),
+    Bounds(elections=0, orders=1, crashes=1),
+    Bounds(elections=0, orders=1, wipes=1),
+    Bounds(elections=0, orders=1, drops=1),
+    Bounds(elections=0, orders=1, leaves=1),
+    Bounds(elections=0, orders=1, leaves=1, count=4),
+    Bounds(elections=1, orders=0, crashes=1),
+    Bounds(elections=1, orders=0, leaves=1),
+    Bounds(elections=1, orders=1),
+    Bounds(elections=1, orders=1, crashes=1),
+    Bounds(elections=1, orders=1, wipes=1),
+    Bounds(elections=1, orders=1, drops=1),
+    Bounds(elections=1, orders=1, leaves=1),
+]
+
+
+def main() -> int:
+    """Explore each bound whole, or up to as many states as are told."""
+    states = int(sys.argv[1]) if len(sys.argv) > 1 else 10_000_000
+    chosen = [WHOLE_BOUNDS[int(number)] for number in sys.argv[2:]] or WHOLE_BOUNDS
+    broken = 0
+    for bounds in chosen:
+        began = time.monotonic()
+        found = Explorer(replace(bounds, states=states)).explore()
+        broken += bool(found.broken)
+        what = ", ".join(
+            f"{value} {name}" for name, value in vars(bounds).items() if name != "states" and value
+        )
+        extent = "whole" if found.whole else "in part"
+        print(
+            f"{what}: {found.states} states, {extent}, {time.monotonic() - began:.0f} s",
+            *([found.broken, *found.path] if found.broken else []),
+            sep="\n  ",
+            flush=True,
+        )
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/system/test_control_exploring.py
+++ b/tests/system/test_control_exploring.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from nettledeal.control import composition
 from nettledeal.control.messages import Accepted, Promise
 from nettledeal.control.primary import Primary
 from nettledeal.control.replica import Replica
-from tests.system.control_exploring import Bounds, Explored, Explorer
+from tests.system.control_exploring import Bounds, Explorer
+from tests.system.exploring_replicas import Explored
 
 STATES = 4000
 BOUNDS = [
@@ -19,6 +21,14 @@
     Bounds(elections=1, orders=1, drops=1),
     Bounds(elections=1, orders=1, reads=1),
     Bounds(elections=1, orders=1, beats=1, resets=1),
+    Bounds(elections=1, orders=1, leaves=1),
+    Bounds(elections=0, orders=1, leaves=1, count=4),
+]
+# Seen whole by the tests; the others up to STATES, and whole by `python -m tests.system.control_exploring`.
+WHOLE = [
+    Bounds(elections=1, orders=0),
+    Bounds(elections=0, orders=1, crashes=1),
+    Bounds(elections=0, orders=1, wipes=1),
 ]
 
 
@@ -29,6 +39,13 @@
     assert found.whole or found.states >= STATES
 
 
+@pytest.mark.parametrize("bounds", WHOLE, ids=repr)
+def test_no_interleaving_within_a_bound_breaks_a_promise(bounds):
+    found = Explorer(bounds).explore()
+    assert found.broken == "", found.path
+    assert found.whole
+
+
 class ActsAfterRestart(Explored):
     """A primary that goes on in its epoch after a restart."""
 
@@ -67,7 +84,16 @@
         super()._on_vote(now, sender, message)
 
 
+class EndsWithoutAgreement(Explored):
+    """A process that ends before an epoch without it is stored."""
+
+    @property
+    def may_end(self) -> bool:
+        return self.primary is None
+
+
 PLANTED = [
+    (EndsWithoutAgreement, Bounds(elections=0, orders=1, leaves=1, count=4)),
     (ActsAfterRestart, Bounds(elections=0, orders=0, crashes=1)),
     (CommitsAlone, Bounds(elections=1, orders=1)),
     (DecidesAlone, Bounds(elections=2, orders=0)),
@@ -83,6 +109,12 @@
     assert Explorer(bounds, replica_type).explore().broken
 
 
+def test_a_number_of_voters_that_stays_even_shows(monkeypatch):
+    monkeypatch.setattr(composition, "_without_spare", lambda voters, *others: tuple(voters))
+    bounds = Bounds(elections=0, orders=0, leaves=1, count=4, states=30_000)
+    assert "no majority" in Explorer(bounds).explore().broken
+
+
 def test_the_planted_faults_override_what_runs():
     assert all(hasattr(Replica, name) for name in ("_become_primary", "_on_vote"))
     assert hasattr(Primary, "required")
