No circles of imports: decisions on commands, checks of a configuration, what a member waits for in modules of their own

Three circles are gone (control state and tenancy; configuration and its checks; membership's machine), two of the sidecar's transport remain, of annotations; a test holds others off.

--- a/src/nettledeal/capacity/configuration.py
+++ b/src/nettledeal/capacity/configuration.py
@@ -12,15 +12,17 @@
 from nettledeal.capacity.measuring import processor_ms, resident_bytes
 from nettledeal.capacity.table import Row
 from nettledeal.common.addresses import Address
+from nettledeal.control.decisions import decide
 from nettledeal.control.messages import CODEC as REPLICATION
 from nettledeal.control.messages import Append
-from nettledeal.control.state import CONFIGURATION_KEY, ControlState, Decision, PutConfiguration, decide
+from nettledeal.control.state import CONFIGURATION_KEY, ControlState, Decision, PutConfiguration
 from nettledeal.dataplane.agent import DataPlane
 from nettledeal.distribution.control_source import CONTROL_SOURCE, control_entries
 from nettledeal.distribution.protocol import CODEC, NO_VERSION
 from nettledeal.distribution.source import PublishedSource
 from nettledeal.distribution.subscriber_session import SubscribedSource
-from nettledeal.operator_api.configuration import Configuration, parse_configuration
+from nettledeal.operator_api.configuration import Configuration
+from nettledeal.operator_api.configuration_checks import parse_configuration
 
 REPEATS = 9
 ROUTES_OF_DAY = 100
--- a/src/nettledeal/control/data_checks.py
+++ b/src/nettledeal/control/data_checks.py
@@ -17,7 +17,7 @@
     ControlState,
 )
 from nettledeal.operator_api.api import order_digest
-from nettledeal.operator_api.configuration import parse_configuration
+from nettledeal.operator_api.configuration_checks import parse_configuration
 
 _SEQUENCE_BYTES = 8
 
--- a/src/nettledeal/control/primary.py
+++ b/src/nettledeal/control/primary.py
@@ -11,6 +11,7 @@
 from nettledeal.common.settings import FaultTolerance
 from nettledeal.control.change_log import ChangeLog
 from nettledeal.control.composition import Candidate, next_record, satisfies_floor
+from nettledeal.control.decisions import decide
 from nettledeal.control.messages import (
     Decided,
     EpochRecord,
@@ -21,7 +22,7 @@
 from nettledeal.control.replicated import Replicated
 from nettledeal.control.replication import WINDOW_CHANGES, Replication
 from nettledeal.control.roles import Appointment, ReaderCandidate, ReaderRole
-from nettledeal.control.state import Command, Outcome, decide
+from nettledeal.control.state import Command, Outcome
 from nettledeal.control.steps import Outbox
 from nettledeal.control.timing import Timing
 
--- a/src/nettledeal/control/state.py
+++ b/src/nettledeal/control/state.py
@@ -1,4 +1,4 @@
-"""The control state and the commands that change it.
+"""The control state and the commands that change it; `decisions` judges them.
 
 The state is a small map from keys to bytes. `sequence` rises by one with each command that changes it, and is
 the version under which the state is distributed.
@@ -13,17 +13,15 @@
 import msgspec
 from pyrsistent import PMap, pmap
 
-from nettledeal.common.compression import pack_json, unpack_json
+from nettledeal.common.compression import unpack_json
 
 if TYPE_CHECKING:
-    from nettledeal.tenancy.bindings import TenancyClaims
+    from nettledeal.tenancy.claims import TenancyClaims
 
 CONFIGURATION_KEY = "configuration"
 CONFIGURATION_META_KEY = "configuration-meta"
 ACCEPTED_PREFIX = "accepted/"
 EVACUATION_PREFIX = "evacuation/"
-ACCEPTED_KEPT = 2000
-PRUNED_AT_ONCE = 100
 # There once a configuration has named tenants; what follows from it is judged in `tenancy`, loaded only then.
 TENANTS_KEY = "tenants"
 
@@ -126,58 +124,3 @@
 
     outcome: Outcome
     changes: tuple[Change, ...] = ()
-
-
-def decide(state: ControlState, command: Command) -> Decision:
-    """Judge a command against the state that it would follow."""
-    if isinstance(command, PutConfiguration):
-        return _decide_configuration(state, command)
-    if isinstance(command, SetTenantKey):
-        from nettledeal.tenancy.orders import judge_key
-
-        return judge_key(state, command)
-    return _decide_evacuation(state, command)
-
-
-def _decide_configuration(state: ControlState, command: PutConfiguration) -> Decision:
-    accepted_key = ACCEPTED_PREFIX + command.digest.hex()
-    if accepted_key in state.entries:
-        return Decision(Outcome.ACCEPTED)
-    if command.expected_version != state.generation:
-        return Decision(Outcome.CONFLICT)
-    if command.generation <= state.generation:
-        return Decision(Outcome.INVALID)
-    tenancy = _judge_tenancy(state, command)
-    if tenancy.outcome is not Outcome.ACCEPTED:
-        return tenancy
-    meta = ConfigurationMeta(command.generation, command.digest)
-    accepted_at = (state.sequence + 1).to_bytes(8, "big")
-    changes = (
-        Change(CONFIGURATION_KEY, pack_json(command.body)),
-        Change(CONFIGURATION_META_KEY, msgspec.msgpack.encode(meta)),
-        Change(accepted_key, accepted_at),
-    )
-    return Decision(Outcome.ACCEPTED, changes + tenancy.changes + _pruned(state))
-
-
-def _judge_tenancy(state: ControlState, command: PutConfiguration) -> Decision:
-    if command.claims is None and TENANTS_KEY not in state.entries:
-        return Decision(Outcome.ACCEPTED)
-    from nettledeal.tenancy.orders import judge_claims
-
-    return judge_claims(state, command.claims)
-
-
-def _pruned(state: ControlState) -> tuple[Change, ...]:
-    """Removals of the oldest accepted orders once there are too many; in batches, since it sorts them all."""
-    if len(state.entries) < ACCEPTED_KEPT + PRUNED_AT_ONCE:
-        return ()
-    accepted = sorted((value, key) for key, value in state.entries.items() if key.startswith(ACCEPTED_PREFIX))
-    return tuple(Change(key, None) for _, key in accepted[:-ACCEPTED_KEPT])
-
-
-def _decide_evacuation(state: ControlState, command: SetEvacuation) -> Decision:
-    key = EVACUATION_PREFIX + command.zone
-    if (key in state.entries) == command.evacuated:
-        return Decision(Outcome.ACCEPTED)
-    return Decision(Outcome.ACCEPTED, (Change(key, b"" if command.evacuated else None),))
--- a/src/nettledeal/membership/baselines.py
+++ b/src/nettledeal/membership/baselines.py
@@ -9,9 +9,9 @@
 
 from nettledeal.membership.member import Member
 from nettledeal.membership.packets import TELL, Packet
+from nettledeal.membership.pending import Suspicion
 from nettledeal.membership.rehearsal import START, Rehearsal, Weather
 from nettledeal.membership.steps import SECOND, Timing
-from nettledeal.membership.suspicion import Suspicion
 from nettledeal.membership.view import State, Word
 from nettledeal.model import Time
 from nettledeal.net.address import Address
--- a/src/nettledeal/membership/machine.py
+++ b/src/nettledeal/membership/machine.py
@@ -5,20 +5,16 @@
 from collections.abc import Iterable
 from heapq import heappush
 from random import Random
-from typing import TYPE_CHECKING
 
 from nettledeal.membership.health import Health
 from nettledeal.membership.packets import MOST_DATAGRAM, PING, VERSION, Codec, MsgpackCodec, Packet
+from nettledeal.membership.pending import Probe, Suspicion
 from nettledeal.membership.rumours import Rumours
 from nettledeal.membership.steps import SECOND, Act, Send, Step, Timing
 from nettledeal.membership.view import Metadata, Order, State, View, Word
 from nettledeal.model import Time
 from nettledeal.net.address import Address
 
-if TYPE_CHECKING:
-    from nettledeal.membership.probing import Probe
-    from nettledeal.membership.suspicion import Suspicion
-
 # With so many others in its zone a member talks mostly to them: so large a part of its probes and news.
 NEAR_ENOUGH, NEAR_SHARE = 2, 0.75
 # After so long whoever has joined nobody calls a seed again for the first time.
--- a/src/nettledeal/membership/probing.py
+++ b/src/nettledeal/membership/probing.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 
 from nettledeal.membership.machine import NEAR_ENOUGH, NEAR_SHARE, Machine
 from nettledeal.membership.packets import ACK, ASK, NACK, PING, Packet
+from nettledeal.membership.pending import Probe
 from nettledeal.membership.steps import Call
 from nettledeal.membership.view import State, Word
-from nettledeal.model import Time
 from nettledeal.net.address import Address
 
 # Others asked to probe in its place.
@@ -20,15 +19,6 @@
 DOUBTED_AFTER, DOUBTED_SHARE, DOUBTED_ZONE = 2, 0.5, 6
 
 
-@dataclass(slots=True)
-class Probe:
-    word: Word
-    number: int
-    at: Time
-    asked: int = 0
-    nacks: int = 0
-
-
 class Probing(Machine):
     """One probe at a time; each ends before the next one begins."""
 
--- a/src/nettledeal/membership/suspicion.py
+++ b/src/nettledeal/membership/suspicion.py
@@ -2,41 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from math import log, log10
+from math import log10
 
 from nettledeal.membership.health import MOST_ILL
 from nettledeal.membership.machine import Machine
 from nettledeal.membership.packets import PING
+from nettledeal.membership.pending import Suspicion
 from nettledeal.membership.steps import Call
 from nettledeal.membership.view import State, Word
-from nettledeal.model import Time
 
 # Accusers that shorten a suspicion.
 ACCUSERS = 3
-# A suspicion with one accuser alone lasts so many times the least.
-DOUBT = 3.0
 # The least time of suspicion serves so many members; news takes longer in larger groups.
 SIZED_FOR = 300
 
 
-@dataclass(slots=True)
-class Suspicion:
-    since: Time
-    least: float
-    by: set[str]
-    needed: int
-    delayed: Time = 0
-    asked: bool = False  # whether the accused has been asked once more
-
-    @property
-    def end(self) -> Time:
-        """Shrinks with the logarithm of those who accuse independently."""
-        most = DOUBT * self.least
-        part = log(len(self.by)) / log(self.needed + 1) if self.needed else 1.0
-        return self.since + self.delayed + round(max(self.least, most - (most - self.least) * part))
-
-
 class Suspecting(Machine):
     """Suspicions by the name of the accused."""
 
--- a/src/nettledeal/net/transport/answer_writer.py
+++ b/src/nettledeal/net/transport/answer_writer.py
@@ -5,12 +5,12 @@
 import struct
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import gevent
 from gevent import socket
 
-from nettledeal.net.clock import SECOND
+from nettledeal.net.clock import SECOND, Clock
 from nettledeal.net.protocol.backend import Rest
 from nettledeal.net.protocol.bodies import LAST_CHUNK, Malformed, chunk
 from nettledeal.net.protocol.client import RequestReader, answer
@@ -18,9 +18,6 @@
 from nettledeal.net.transport.relay import Upload
 from nettledeal.net.transport.sockets import send_all
 
-if TYPE_CHECKING:
-    from nettledeal.net.transport.listener import Listener
-
 # How long an answer may take to be read once nobody waits for it any more.
 BEYOND = SECOND
 # The longest that an answer may be on its way whatever its expiry is: that of an upload lies far off.
@@ -32,6 +29,16 @@
 _spill = bytearray(64 * 1024)  # where that goes; nobody looks at it
 
 
+class AnsweringListener(Protocol):
+    """What the writer goes by of the listener whose client it answers."""
+
+    clock: Clock
+
+    @property
+    def takes_upload(self) -> bool:
+        """Whether there is room for one more long request."""
+
+
 class AnswerWriter:
     """Writes answers to one client; after the last one it ends the connection in order.
 
@@ -39,7 +46,7 @@
     the garbage collector only, long after the connection has ended.
     """
 
-    def __init__(self, listener: Listener, sock: socket.socket):
+    def __init__(self, listener: AnsweringListener, sock: socket.socket):
         self.listener = listener
         self.sock = sock
         self.parted = False  # its side is shut, and what still came has been read
--- a/src/nettledeal/net/transport/exchange.py
+++ b/src/nettledeal/net/transport/exchange.py
@@ -4,14 +4,18 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from nettledeal.model import Time
 from nettledeal.net.protocol.backend import Reply
 from nettledeal.net.transport.relay import Upload
 
-if TYPE_CHECKING:
-    from nettledeal.net.transport.backend_connection import BackendConnection
+
+class Breakable(Protocol):
+    """The connection that carries an exchange."""
+
+    def break_off(self) -> None:
+        """End it, and with it what is not yet written."""
 
 
 @dataclass(slots=True, eq=False)
@@ -22,7 +26,7 @@
     give_up_at: Time
     done: Callable[[Reply], None]
     probe: bool = False
-    connection: BackendConnection | None = None
+    connection: Breakable | None = None
     written: bool = False  # its last byte is the kernel's: from here on it may run
     dropped: bool = False
     upload: Upload | None = None  # what is still to come of a long body, behind the parts
--- a/src/nettledeal/operator_api/api.py
+++ b/src/nettledeal/operator_api/api.py
@@ -15,7 +15,8 @@
 
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.control.state import TENANTS_KEY, ControlState, Outcome, PutConfiguration, SetEvacuation
-from nettledeal.operator_api.configuration import Configuration, parse_configuration
+from nettledeal.operator_api.configuration import Configuration
+from nettledeal.operator_api.configuration_checks import parse_configuration
 from nettledeal.operator_api.messages import Header, Request, Response, accepted, redirected, refused, unclear
 from nettledeal.operator_api.node import ControlNode
 from nettledeal.operator_api.orders import ANSWER_WITHIN_S, OrdersUnderWay, Task
--- a/src/nettledeal/programs/commands/config.py
+++ b/src/nettledeal/programs/commands/config.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from nettledeal.common.errors import ErrorCode, ServingError
-from nettledeal.operator_api.configuration import parse_configuration
+from nettledeal.operator_api.configuration_checks import parse_configuration
 from nettledeal.programs.commands.operator import add_call_arguments, exit_status, make_client
 
 
--- a/src/nettledeal/standins/tenant_control.py
+++ b/src/nettledeal/standins/tenant_control.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from nettledeal.common.errors import ServingError
+from nettledeal.control.decisions import decide
 from nettledeal.control.state import (
     TENANTS_KEY,
     Change,
@@ -15,10 +16,9 @@
     Outcome,
     PutConfiguration,
     SetTenantKey,
-    decide,
 )
 from nettledeal.distribution.control_source import control_entries
-from nettledeal.operator_api.configuration import parse_configuration
+from nettledeal.operator_api.configuration_checks import parse_configuration
 from nettledeal.tenancy.bindings import BINDING_PREFIX, claims_of, tenants_of
 from nettledeal.tenancy.keys import MakeSecret, SealedKey, encode_key
 from nettledeal.tenancy.orders import key_in_force
--- a/src/nettledeal/tenancy/bindings.py
+++ b/src/nettledeal/tenancy/bindings.py
@@ -13,6 +13,7 @@
 from nettledeal.control.state import TENANTS_KEY, Change
 from nettledeal.operator_api.configuration import Configuration
 from nettledeal.tenancy.checks import ALL_TENANTS, owner_of_route, rewritten_services, service_owners
+from nettledeal.tenancy.claims import TenancyClaims
 from nettledeal.tenancy.keys import TENANT_KEY_PREFIX
 from nettledeal.tenancy.places import fault_of_nesting, place_of
 
@@ -21,14 +22,6 @@
 SERVICE_BINDING = BINDING_PREFIX + "service/"
 
 
-class TenancyClaims(msgspec.Struct, frozen=True):
-    """What a configuration says: its tenants, the owners of bound things, and the things without an owner."""
-
-    tenants: list[str]
-    owners: dict[str, str]
-    unowned: list[str]
-
-
 def claims_of(configuration: Configuration) -> TenancyClaims:
     """The claims of a configuration that was checked."""
     owners: dict[str, str] = {}
--- a/src/nettledeal/tenancy/orders.py
+++ b/src/nettledeal/tenancy/orders.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from nettledeal.control.state import Change, ControlState, Decision, Outcome, SetTenantKey
-from nettledeal.tenancy.bindings import TenancyClaims, changes_for, fault_of_claims, tenants_of
+from nettledeal.tenancy.bindings import changes_for, fault_of_claims, tenants_of
+from nettledeal.tenancy.claims import TenancyClaims
 from nettledeal.tenancy.keys import TENANT_KEY_PREFIX, SealedKey, decode_key
 
 
--- a/tests/features/steps/data_steps.py
+++ b/tests/features/steps/data_steps.py
@@ -11,8 +11,9 @@
 
 from behave import given, then, when
 
+from nettledeal.control.decisions import decide
 from nettledeal.control.epochs import WitnessState
-from nettledeal.control.state import ControlState, PutConfiguration, decide
+from nettledeal.control.state import ControlState, PutConfiguration
 from nettledeal.control.steps import SaveChanges
 from nettledeal.control.storage import DATABASE_NAME, Storage
 from nettledeal.operator_api.api import order_digest
--- a/tests/system/operator_api_support.py
+++ b/tests/system/operator_api_support.py
@@ -7,7 +7,8 @@
 from gevent.event import Event
 
 from nettledeal.common.errors import ErrorCode, ServingError
-from nettledeal.control.state import ControlState, Outcome, decide
+from nettledeal.control.decisions import decide
+from nettledeal.control.state import ControlState, Outcome
 
 
 class MemoryNode:
--- a/tests/system/test_common_compression.py
+++ b/tests/system/test_common_compression.py
@@ -6,7 +6,8 @@
 
 from nettledeal.common.compression import MIN_BYTES, compress, expand, pack_json, unpack_json
 from nettledeal.common.errors import ErrorCode, ServingError
-from nettledeal.control.state import CONFIGURATION_KEY, ControlState, Outcome, PutConfiguration, decide
+from nettledeal.control.decisions import decide
+from nettledeal.control.state import CONFIGURATION_KEY, ControlState, Outcome, PutConfiguration
 from nettledeal.distribution.control_source import control_entries
 from tests.system.operator_api_support import make_body, make_route
 
--- a/tests/system/test_data_inspection.py
+++ b/tests/system/test_data_inspection.py
@@ -8,6 +8,7 @@
 
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.control.data_checks import findings
+from nettledeal.control.decisions import decide
 from nettledeal.control.epochs import WitnessState
 from nettledeal.control.inspection import inspect_folder
 from nettledeal.control.messages import EpochRecord, ReplicaInfo
@@ -17,7 +18,6 @@
     Change,
     ControlState,
     PutConfiguration,
-    decide,
 )
 from nettledeal.control.steps import SaveChanges
 from nettledeal.control.storage import DATABASE_NAME, Storage
--- a/tests/system/test_operator_api_configuration.py
+++ b/tests/system/test_operator_api_configuration.py
@@ -5,7 +5,8 @@
 import pytest
 
 from nettledeal.common.errors import ErrorCode, ServingError
-from nettledeal.operator_api.configuration import RouteType, parse_configuration
+from nettledeal.operator_api.configuration import RouteType
+from nettledeal.operator_api.configuration_checks import parse_configuration
 from tests.system.operator_api_support import make_body, make_route
 
 
--- a/tests/system/test_operator_api_schedules.py
+++ b/tests/system/test_operator_api_schedules.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from nettledeal.control import state as state_module
+from nettledeal.control import decisions as decisions_module
 from nettledeal.control.state import Outcome
 from nettledeal.distribution.control_source import control_entries
 from nettledeal.distribution.source import PublishedSource
@@ -156,7 +156,7 @@
 
 def accept_invalid(monkeypatch):
     """Routes are not checked."""
-    monkeypatch.setattr("nettledeal.operator_api.configuration._fault_of_route", lambda *_: None)
+    monkeypatch.setattr("nettledeal.operator_api.configuration_checks._fault_of_route", lambda *_: None)
 
 
 def accept_on_any_version(monkeypatch):
@@ -189,8 +189,8 @@
 
 def test_many_changes_leave_no_more_than_their_bound(monkeypatch):
     kept, pruned_at_once, log_length = 100, 20, 50
-    monkeypatch.setattr(state_module, "ACCEPTED_KEPT", kept)
-    monkeypatch.setattr(state_module, "PRUNED_AT_ONCE", pruned_at_once)
+    monkeypatch.setattr(decisions_module, "ACCEPTED_KEPT", kept)
+    monkeypatch.setattr(decisions_module, "PRUNED_AT_ONCE", pruned_at_once)
     node = MemoryNode()
     api = OperatorApi(node, "10.0.0.1:8166", lambda: ZONES)
     source = PublishedSource("control", log_length)
--- a/tests/system/test_order_history.py
+++ b/tests/system/test_order_history.py
@@ -5,7 +5,8 @@
 import pytest
 
 from nettledeal.control import state as state_module
-from nettledeal.control.state import Decision, Outcome, decide
+from nettledeal.control.decisions import decide
+from nettledeal.control.state import Decision, Outcome
 from tests.system.control_rehearsal import rehearse
 from tests.system.order_history import Answer, Evacuation, History, Put, Read
 
--- a/tests/system/test_releases.py
+++ b/tests/system/test_releases.py
@@ -18,7 +18,7 @@
 from nettledeal.membership.cbor_codec import CborCodec
 from nettledeal.membership.packets import MOST_DATAGRAM, PING, VERSION, Packet
 from nettledeal.membership.view import Metadata, Order, Word
-from nettledeal.operator_api.configuration import parse_configuration
+from nettledeal.operator_api.configuration_checks import parse_configuration
 from nettledeal.standins.clients import Ending
 from nettledeal.standins.scenario import CARD, EXTRA, QUESTION, make_configuration
 from system.later_release import LATER_FIELD, LATER_VALUE, extended
--- a/tests/system/test_standins.py
+++ b/tests/system/test_standins.py
@@ -8,7 +8,7 @@
 from nettledeal.common.addresses import Address
 from nettledeal.common.settings import read_settings
 from nettledeal.discovery.catalogue import Backend
-from nettledeal.operator_api.configuration import parse_configuration
+from nettledeal.operator_api.configuration_checks import parse_configuration
 from nettledeal.standins.backend import EngineSpeed, Run, StandInBackend
 from nettledeal.standins.checks import broken_rules
 from nettledeal.standins.clients import Client, Ending, Outcome
--- a/tests/system/test_tenancy_control.py
+++ b/tests/system/test_tenancy_control.py
@@ -7,10 +7,11 @@
 import pytest
 
 from nettledeal.common.errors import ErrorCode, ServingError
-from nettledeal.control.state import ControlState, PutConfiguration, decide
+from nettledeal.control.decisions import decide
+from nettledeal.control.state import ControlState, PutConfiguration
 from nettledeal.distribution.control_source import control_entries
 from nettledeal.operator_api.api import OperatorApi
-from nettledeal.operator_api.configuration import parse_configuration
+from nettledeal.operator_api.configuration_checks import parse_configuration
 from nettledeal.operator_api.messages import Request
 from nettledeal.operator_api.tenants import KeyOrder, key_path
 from nettledeal.standins.tenant_control import ControlHistory
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,5 +1,6 @@
 """Every module of the tree can be imported: a name changed in one part fails here for all its users."""
 
+import ast
 import os
 import subprocess
 import sys
@@ -32,3 +33,46 @@
         env=os.environ | {"PYTHONPATH": str(SOURCE)}, capture_output=True, text=True, timeout=60,
     )
     assert (run.returncode, run.stdout, run.stderr) == (0, "", "")
+
+
+# Type annotations of the sidecar's transport that name each other's classes.
+KNOWN_CIRCLES = {
+    ("nettledeal.net.transport.backend_connection", "nettledeal.net.transport.pools"),
+    ("nettledeal.net.transport.client_connection", "nettledeal.net.transport.listener"),
+}
+
+
+def imported(file: Path, names: set[str]) -> set[str]:
+    """The modules that a file imports, also for annotations and inside functions."""
+    found = set()
+    for node in ast.walk(ast.parse(file.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            for alias in node.names:
+                inner = f"{node.module}.{alias.name}"
+                found.add(inner if inner in names else node.module)
+    return found & names
+
+
+def circles(imports: dict[str, set[str]]) -> set[tuple[str, ...]]:
+    """Groups of modules that import each other, directly or not."""
+    reached = {name: set(found) for name, found in imports.items()}
+    growing = True
+    while growing:
+        growing = False
+        for found in reached.values():
+            further = set().union(*(reached[name] for name in found)) - found
+            growing |= bool(further)
+            found |= further
+    return {
+        tuple(sorted(other for other in found if name in reached[other]))
+        for name, found in reached.items() if name in found
+    }
+
+
+def test_no_modules_import_each_other_in_a_circle():
+    files = {
+        ".".join(file.relative_to(SOURCE).with_suffix("").parts).removesuffix(".__init__"): file
+        for file in SOURCE.rglob("*.py")
+    }
+    imports = {name: imported(file, set(files)) - {name} for name, file in files.items()}
+    assert circles(imports) == KNOWN_CIRCLES
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
 from nettledeal.membership.dealing import SLACK, deal
 from nettledeal.membership.member import Member
 from nettledeal.membership.packets import MOST_DATAGRAM, PING, VERSION, Packet, Refusal, decoded, encoded
+from nettledeal.membership.pending import DOUBT, Suspicion
 from nettledeal.membership.rehearsal import (
     BRISK,
     START,
@@ -24,7 +25,7 @@
 )
 from nettledeal.membership.rumours import Rumours
 from nettledeal.membership.steps import SECOND, Send, Timing
-from nettledeal.membership.suspicion import ACCUSERS, DOUBT, Suspicion
+from nettledeal.membership.suspicion import ACCUSERS
 from nettledeal.membership.view import MOST_INCARNATION, Order, State, View, Word
 
 NOW = START
