--- a/src/nettledeal/programs/deploy_file.py
+++ b/src/nettledeal/programs/deploy_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from collections.abc import Iterator
 from enum import StrEnum
@@ -13,6 +14,7 @@
 from nettledeal.common.errors import ErrorCode, ServingError
 
 MAX_ROLES_OF_A_CLASS = 2
+PACKAGE_NAME = re.compile(r"[a-z0-9][a-z0-9+.-]+")
 # No shell and no other helper stands between the platform and a program.
 HELPERS = frozenset({"sh", "bash", "env", "npx", "sudo", "exec"})
 
@@ -44,10 +46,11 @@
 
 
 class Deployment(msgspec.Struct, frozen=True):
-    """A whole deploy file."""
+    """A whole deploy file. `packages` are the system packages that the build needs."""
 
     build: str
     roles: dict[str, DeployedRole]
+    packages: list[str] = []
 
 
 def read_deploy_file(path: Path) -> Deployment:
@@ -66,6 +69,9 @@
 def _faults(deployment: Deployment) -> Iterator[str]:
     if not deployment.build.strip():
         yield "build: empty"
+    for index, package in enumerate(deployment.packages):
+        if not PACKAGE_NAME.fullmatch(package):
+            yield f"packages[{index}]: {package!r} is no name of a package"
     for name, role in deployment.roles.items():
         yield from (f"roles.{name}.{fault}" for fault in _faults_of_role(role))
     yield from _faults_of_classes(deployment.roles)
--- a/tests/system/test_deploy_file.py
+++ b/tests/system/test_deploy_file.py
@@ -24,7 +24,9 @@
 
 
 def test_the_repository_s_own_file():
-    assert set(read_deploy_file(ROOT / "deploy" / "system.toml").roles) == {"data-plane", "control-plane"}
+    deployment = read_deploy_file(ROOT / "deploy" / "system.toml")
+    assert set(deployment.roles) == {"data-plane", "control-plane"}
+    assert "python3" in deployment.packages
 
 
 def test_a_sound_file(tmp_path):
@@ -37,6 +39,9 @@
     ("before", "after", "named"),
     [
         ('build = "sh build"', "", "build"),
+        ('build = "sh build"', 'build = "sh build"\npackages = ["python3"]', None),
+        ('build = "sh build"', 'build = "sh build"\npackages = ["Python 3"]', r"packages\[0\]"),
+        ('build = "sh build"', 'build = "sh build"\npackages = "python3"', "packages"),
         ('build = "sh build"', 'build = " "', "build"),
         ('on = "edge"', 'on = "moon"', r"roles\[...\].on"),
         ("share = 1.0", "share = 1.5", "roles.front.share"),
