Core machines are told under the epoch of the record that has them

The version came from the last heartbeat, the machines from the last record: between the two, two core machines could tell different maps under one version.

--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -124,14 +124,17 @@
             self.catalogue.confirm(now_s, age_s)
 
     def _publish_cores(self, now_s: float) -> None:
+        # Voters and version are of one record: two machines must not tell different ones under one version.
+        record = self.node.epoch_record
+        if record is None:
+            return
         port = self.settings.port_range[0] + InternalPort.DISTRIBUTION
         machines = {
-            core.replica_id: CoreMachine(core.host, port, core.zone, core.region)
-            for core in self.node.cores()
+            voter.replica_id: CoreMachine(voter.host, port, voter.zone, voter.region)
+            for voter in record.voters
         }
-        if machines:
-            self.cores.publish((self.node.reader_term.epoch,), core_entries(machines))
-            self.cores.confirm(now_s)
+        self.cores.publish((record.epoch,), core_entries(machines))
+        self.cores.confirm(now_s)
 
 
 def run(settings: Settings) -> int:
--- a/tests/system/test_control_plane_program.py
+++ b/tests/system/test_control_plane_program.py
@@ -8,6 +8,9 @@
 from gevent import socket
 
 from nettledeal.common.settings import Cloud, Listen
+from nettledeal.control.messages import EpochRecord, ReplicaInfo
+from nettledeal.control.roles import ReaderTerm
+from nettledeal.distribution.targets import read_cores
 from nettledeal.programs.control_plane import ControlPlane
 from tests.system.distribution_support import make_settings
 
@@ -44,3 +47,21 @@
     plane.registry = None
     plane.stop()
     plane.membership.stop.assert_called_once_with()
+
+
+def test_core_machines_are_told_under_the_epoch_that_has_them(plane):
+    # The heartbeat of an epoch may come later than its record: voters of one and number of the other would be
+    # two maps under one version.
+    for epoch, hosts in ((4, ("a", "b", "c")), (5, ("a", "b", "d"))):
+        voters = tuple(ReplicaInfo(f"id-{host}", host, "z", "r") for host in hosts)
+        plane.node.epoch_record = EpochRecord(epoch, "id-a", ("id-a", "id-b"), voters)
+        plane.node.reader_term = ReaderTerm(4, 0)
+        plane._publish_cores(1.0)
+        assert plane.cores.version == (epoch,)
+        assert {core.host for core in read_cores(plane.cores.entries)} == set(hosts)
+
+
+def test_before_an_epoch_is_known_no_core_machines_are_told(plane):
+    plane.node.epoch_record = None
+    plane._publish_cores(1.0)
+    assert not plane.cores.entries
