--- a/src/nettledeal/control/composition.py
+++ b/src/nettledeal/control/composition.py
@@ -126,14 +126,19 @@
     for count in range(len(leaving) + 1):
         held = leaving[:count]
         wanted = staying + held + added
-        voters = _next_voters(base, joining, candidates, protected=frozenset(held))
+        voters = _next_voters(base, joining, candidates, tolerance, protected=frozenset(held))
         if satisfies_floor(wanted, voters, tolerance):
             return wanted, voters
-    return base.in_sync + added, _next_voters(base, joining, candidates, protected=frozenset(base.in_sync))
+    voters = _next_voters(base, joining, candidates, tolerance, protected=frozenset(base.in_sync))
+    return base.in_sync + added, voters
 
 
 def _next_voters(
-    base: EpochRecord, joining: list[ReplicaInfo], candidates: dict[str, Candidate], protected: frozenset[str]
+    base: EpochRecord,
+    joining: list[ReplicaInfo],
+    candidates: dict[str, Candidate],
+    tolerance: FaultTolerance,
+    protected: frozenset[str],
 ) -> tuple[ReplicaInfo, ...]:
     voters = [_with_details(voter, candidates) for voter in base.voters]
     for info in joining:
@@ -146,18 +151,22 @@
         if voter.replica_id not in protected and _superseded(voter, voters, candidates)
     }
     remaining = [voter for voter in voters if voter.replica_id not in superseded]
-    return _without_spare(remaining, candidates, protected)
+    return _without_spare(remaining, candidates, tolerance, protected)
 
 
 def _without_spare(
-    voters: list[ReplicaInfo], candidates: dict[str, Candidate], protected: frozenset[str]
+    voters: list[ReplicaInfo],
+    candidates: dict[str, Candidate],
+    tolerance: FaultTolerance,
+    protected: frozenset[str],
 ) -> tuple[ReplicaInfo, ...]:
-    """The voters, less one that is leaving or silent if their number is even.
+    """The voters, less one that is leaving or silent if it can be spared.
 
-    An even number with one absent bears one loss less than the odd number without it. From an odd number none
-    is left out: it would bear no more, and less once the absent one is back.
+    An even number with one absent bears one loss less than the odd number without it. From an odd number that
+    the tolerance needs none is left out: it would bear no more, and less once the absent one is back.
     """
-    if len(voters) % 2 == 1:
+    needed = 2 * tolerance.machines + 1
+    if len(voters) % 2 == 1 and len(voters) <= needed:
         return tuple(voters)
     absent = [
         voter
--- a/tests/system/test_control_leaving.py
+++ b/tests/system/test_control_leaving.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from nettledeal.common.settings import FaultTolerance
 from nettledeal.control.composition import Candidate, next_record
 from nettledeal.control.messages import EpochRecord, ReplicaInfo
 from nettledeal.control.replica import Replica
@@ -299,6 +300,14 @@
     assert chosen(tolerance, voters, tuple("abc"), absent="c") == (tuple("ab"), "abc")
 
 
+def test_of_more_voters_than_the_tolerance_needs_an_absent_one_is_left_out():
+    tolerance = FaultTolerance(machines=2, zones=1)
+    seven = [info(name) for name in "abcdefg"]
+    assert chosen(tolerance, seven, tuple("abcdefg"), absent="g") == (tuple("abcdef"), "abcdef")
+    assert chosen(tolerance, seven[:6], tuple("abcdef"), leaving="f") == (tuple("abcde"), "abcde")
+    assert chosen(tolerance, seven[:5], tuple("abcde"), absent="e") == (tuple("abcd"), "abcde")
+
+
 def test_one_that_leaves_is_kept_where_the_floor_needs_it(tolerance):
     voters = [info("a"), info("b"), info("c")]
     assert chosen(tolerance, voters, tuple("ab"), absent="c", leaving="b") is None
