--- a/tests/system/order_processes.py
+++ b/tests/system/order_processes.py
@@ -34,6 +34,7 @@
 BOUNDS = Bounds(contact_ms=2000.0, ack_ms=2000.0, grace_s=4.0)
 CALL_S = 1.2
 OPERATORS = 4
+DARK_ORDERS = 300
 TROUBLES = ("kill", "freeze", "restart", "lose_disk", "cut", "cut")
 SETTLE_S = 8.0
 ANSWERS = {200: Answer.ACKNOWLEDGED, 400: Answer.REFUSED, 412: Answer.REFUSED}
@@ -189,6 +190,19 @@
         except ServingError:
             return other
 
+    def darken(self, other: SystemProcess) -> None:
+        """A backup is gone through hundreds of changes; soon after it is whole again the primary dies."""
+        primary = self.primary_or(other)
+        backup = next(core for core in self.system.cores if core is not primary)
+        backup.kill()
+        before = len(self.history.puts)
+        wait_until(lambda: len(self.history.puts) > before + DARK_ORDERS, 30.0, "orders are sent")
+        backup.start()
+        self.await_whole()
+        primary.kill()
+        gevent.sleep(self.random.random() * 2)
+        primary.start()
+
     def kill(self, process: SystemProcess) -> None:
         process.kill()
         gevent.sleep(self.random.random() * 2)
--- a/tests/system/test_order_processes.py
+++ b/tests/system/test_order_processes.py
@@ -19,6 +19,15 @@
     assert len(trial.history.reads) > 100
 
 
+def test_a_backup_that_was_dark_through_hundreds_of_changes_catches_up_and_may_lead(tmp_path):
+    trial = Trial(5, tmp_path, network=3)
+    try:
+        assert trial.play(2.0, troubles=("darken",)) == []
+    finally:
+        trial.system.stop()
+    assert len(trial.history.puts) > 300
+
+
 def test_a_primary_that_answers_reads_alone_is_caught(tmp_path):
     trial = Trial(3, tmp_path, network=2, program=STALE_PROGRAM)
     try:
--- a/tests/system/test_releases.py
+++ b/tests/system/test_releases.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.common.messages import MessageCodec
 from nettledeal.control import messages
 from nettledeal.control.epochs import WitnessState
@@ -102,6 +103,27 @@
     assert CODEC.decode(bytes.fromhex(RECORDED_EARLIER[message])) == message
 
 
+@pytest.mark.parametrize(
+    "forged",
+    [
+        [11, 3, 9, 3, 4, True, -1, 77, "leaving"],
+        [11, 3, 9, 3, 4, True, -1, "a life", False],
+        [10, 3, 9, 4, 20, "a", 1, 77, 1.5],
+        [10, 3, 9, 4, 20, "a", 1, None],
+        [18, 3],
+        [1, ["a"], None],
+        [3, [3, "a", ["a"], [["a", "10.0.0.1"], 7]]],
+        {"leaving": True},
+    ],
+    ids=repr,
+)
+def test_control_messages_of_a_forged_shape_cost_their_connection_only(forged):
+    with pytest.raises(ServingError) as raised:
+        CODEC.decode(cbor2.dumps(forged), "10.0.0.9")
+    assert raised.value.code is ErrorCode.MALFORMED_MESSAGE
+    assert raised.value.peer == "10.0.0.9"
+
+
 def test_every_control_message_is_recorded():
     assert {type(message) for message in RECORDED} == set(messages.Message.__args__)
 
