Directory: a leaving member is told for 1.2 s at most, so that nothing comes to it that it has to break off

Now those that began to leave within 1.2 s are told, for half a second, which clients keep three times: the last comes before 3 s. Ruled out: refusing late requests at the leaving agent (costs those that would end in time).

--- a/src/nettledeal/registry/answers.py
+++ b/src/nettledeal/registry/answers.py
@@ -131,16 +131,19 @@
         self._encoded.clear()
 
     def body(self, members: Iterable[MemberInfo], place: Place, client_host: str = "") -> bytes | None:
-        """The answer's JSON, None if no member takes clients."""
+        """The answer's JSON, None if no member takes clients. `members` is gone through only if need be."""
         key = (place, client_group(client_host))
-        if key not in self._encoded:
+        if key in self._encoded:
+            return self._encoded[key]
+        choice = choose(members, place)
+        encoded = self._encode(choice, key[1])
+        if choice.lasting:
             if len(self._encoded) >= MAX_CACHED_ANSWERS:
                 self._encoded.clear()
-            self._encoded[key] = self._encode(members, *key)
-        return self._encoded[key]
+            self._encoded[key] = encoded
+        return encoded
 
-    def _encode(self, members: Iterable[MemberInfo], place: Place, group: int) -> bytes | None:
-        choice = choose(members, place)
+    def _encode(self, choice: Choice, group: int) -> bytes | None:
         if not choice.members:
             return None
         addresses = [member.frontend for member in share_of_group(choice.members, group)]
--- a/src/nettledeal/registry/server.py
+++ b/src/nettledeal/registry/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterable
 from urllib.parse import parse_qs
 
@@ -12,6 +13,7 @@
 from nettledeal.membership.node import MembershipNode
 from nettledeal.registry.answers import Answers, Place
 from nettledeal.registry.homes import RouteHomes
+from nettledeal.registry.leaving import LeavingMembers
 
 RETRY_AFTER_S = "0.5"
 
@@ -24,7 +26,8 @@
         self._regions = settings.zones
         self._homes = RouteHomes()
         self._answers = Answers(settings.bounds.resolve_ttl_s)
-        membership.on_change.append(self._answers.clear)
+        self._leaving = LeavingMembers(settings.bounds.resolve_hold_s)
+        membership.on_change.append(self._view_changed)
         super().__init__(parse_address(settings.listen.directory), self.application)
 
     def configure(self, state: ControlState) -> None:
@@ -32,6 +35,10 @@
         if self._homes.update(state):
             self._answers.clear()
 
+    def _view_changed(self) -> None:
+        self._leaving.note(self._membership.members(), time.monotonic())
+        self._answers.clear()
+
     def application(self, environ: dict, start_response) -> Iterable[bytes]:
         """The WSGI application."""
         if environ["PATH_INFO"] != "/resolve" or environ["REQUEST_METHOD"] != "GET":
@@ -40,7 +47,8 @@
         zone = query.get("zone", [""])[0]
         region = self._regions.get(zone) or query.get("region", [""])[0]
         place = Place(region, zone, self._homes.of_host(query.get("name", [""])[0]))
-        body = self._answers.body(self._membership.members(), place, environ.get("REMOTE_ADDR", ""))
+        members = self._leaving.without_late(self._membership.members(), time.monotonic())
+        body = self._answers.body(members, place, environ.get("REMOTE_ADDR", ""))
         if body is None:
             return _respond(start_response, "503 Service Unavailable", b"{}", ("Retry-After", RETRY_AFTER_S))
         return _respond(start_response, "200 OK", body)
--- a/tests/system/control_rehearsal.py
+++ b/tests/system/control_rehearsal.py
@@ -209,11 +209,19 @@
         if machine.replica is None:
             then(machine)
             return
-        if not machine.paused:
-            machine.replica.leave(self.now)
-            self.after(machine)
+        self._terminate(machine, machine.life)
         self._await_end(machine, machine.life, self.now + grace_s, then)
 
+    def _terminate(self, machine: Machine, life: int) -> None:
+        """The signal; a process that stands still gets it before anything else once it goes on."""
+        if machine.replica is None or machine.life != life:
+            return
+        if machine.paused:
+            machine.held.insert(0, (self._terminate, (machine, life)))
+            return
+        machine.replica.leave(self.now)
+        self.after(machine)
+
     def _await_end(
         self, machine: Machine, life: int, deadline: float, then: Callable[[Machine], None]
     ) -> None:
--- a/tests/system/test_registry_answers.py
+++ b/tests/system/test_registry_answers.py
@@ -18,6 +18,7 @@
 )
 from nettledeal.membership.node import MemberInfo
 from nettledeal.registry.answers import MAX_ADDRESSES, SHORT_TTL_S, Answers, Place, choose, nearest
+from nettledeal.registry.leaving import LeavingMembers
 from nettledeal.registry.server import RegistryServer
 
 REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2"}
@@ -243,3 +244,25 @@
     assert addresses() == ["h:1", "h:5", "h:6"]
     server.configure(configured(3, free))
     assert addresses() == ["h:1", "h:5", "h:6"]
+
+
+def test_a_member_is_told_for_a_part_of_the_time_in_which_it_expects_clients():
+    leaving, staying = edge(1, leaving=True, ready=False), edge(2)
+    members = LeavingMembers(arrivals_s=3.0)
+    members.note([leaving, staying], 10.0)
+    assert list(members.without_late([leaving, staying], 11.1)) == [leaving, staying]
+    members.note([leaving, staying], 11.1)  # another change of the view
+    assert list(members.without_late([leaving, staying], 11.3)) == [staying]
+    # Whoever is told last keeps the answer for three of its lifetimes, and comes before the arrivals end.
+    assert 1.2 + 3 * SHORT_TTL_S < 3.0
+    members.note([staying], 12.0)
+    members.note([leaving], 20.0)
+    assert list(members.without_late([leaving], 20.5)) == [leaving]
+
+
+def test_an_answer_that_names_leaving_members_is_worked_out_anew():
+    answers = Answers(2.0)
+    place = Place("r1", "z1", frozenset({"r1"}))
+    leaving = edge(1, leaving=True, ready=False)
+    assert json.loads(answers.body([leaving], place))["addresses"] == ["h:1"]
+    assert json.loads(answers.body([edge(5, "z3"), edge(6, "z3")], place))["addresses"] == ["h:5", "h:6"]
