Tests: a world is told its kind of replica, and its primary, in one place

Five plays made their world in three steps to pass a kind of replica, and two had a function of their own for the primary.

--- a/tests/system/control_rehearsal.py
+++ b/tests/system/control_rehearsal.py
@@ -97,9 +97,15 @@
 class World:
     """Machines, their links and the promises that are looked at after every step."""
 
-    replica_type: Callable[..., Replica] = Replica
-
-    def __init__(self, seed: object, count: int = 3, seeds: int = 3, machines: int = 1):
+    def __init__(
+        self,
+        seed: object,
+        count: int = 3,
+        seeds: int = 3,
+        machines: int = 1,
+        replica_type: Callable[..., Replica] = Replica,
+    ):
+        self.replica_type = replica_type
         self.random = Random(f"{seed} control")
         self.now = 0.0
         self.tolerance = FaultTolerance(machines=machines, zones=1)
@@ -236,6 +242,10 @@
     def running(self) -> list[Machine]:
         return [machine for machine in self.machines.values() if machine.replica is not None]
 
+    def primary(self) -> Machine:
+        """The first running machine that takes itself for the primary."""
+        return next(machine for machine in self.running() if machine.replica.primary is not None)
+
     def stored_record(self) -> EpochRecord | None:
         """The latest record that a majority of its voters has on the disk.
 
@@ -747,9 +757,7 @@
     replica_type: Callable[..., Replica] = Replica,
 ) -> list[str]:
     """Play the schedule of a seed; what did not hold of it."""
-    world = World.__new__(World)
-    world.replica_type = replica_type
-    world.__init__(seed, count, machines=machines)
+    world = World(seed, count, machines=machines, replica_type=replica_type)
     clients = [Client(world, f"c{n}", length_s + SETTLE_S / 2) for n in range(3)]
     Chaos(world, length_s)
     world.run(length_s)
--- a/tests/system/test_control_catching_up.py
+++ b/tests/system/test_control_catching_up.py
@@ -55,9 +55,7 @@
 
 
 def world_of(seed: object, replica_type: type = Replica, count: int = 3) -> World:
-    world = World.__new__(World)
-    world.replica_type = replica_type
-    world.__init__(f"{seed} catching up", count, machines=(count - 1) // 2)
+    world = World(f"{seed} catching up", count, machines=(count - 1) // 2, replica_type=replica_type)
     world.jitter_s = 0.0  # connections keep the order of messages
     world.run(6.0)
     return world
@@ -67,12 +65,8 @@
     return [machine for machine in world.running() if machine.replica.primary is None][-1]
 
 
-def primary_of(world: World) -> Machine:
-    return next(machine for machine in world.running() if machine.replica.primary is not None)
-
-
 def in_sync(world: World, machine: Machine) -> bool:
-    return machine.identity in primary_of(world).replica.record.in_sync
+    return machine.identity in world.primary().replica.record.in_sync
 
 
 def stop(world: World, running: list[Stream]) -> None:
@@ -135,7 +129,7 @@
         world.run(world.now + 0.2)
     world.start(machine)
     world.run(world.now + 5.0)
-    primary = primary_of(world)
+    primary = world.primary()
     if primary is not machine:
         world.crash(primary)  # the one that caught up may lead now
         world.run(world.now + 4.0)
@@ -203,7 +197,7 @@
     running = streams(world)
     world.run(world.now + 12.0)
     assert sum(stream.count for stream in running) > 500
-    primary = primary_of(world).replica.primary
+    primary = world.primary().replica.primary
     assert sum(sent) < 12 * WINDOW_BYTES
     assert primary._log._kept_bytes <= MAX_BYTES
     assert len(machine.disk.unsynced) < 4 * WINDOW_CHANGES
@@ -212,7 +206,7 @@
 
 def test_orders_beyond_what_may_wait_are_refused_for_the_moment():
     world = world_of("many")
-    primary = primary_of(world)
+    primary = world.primary()
     for machine in world.running():
         if machine is not primary:
             world.pause(machine)
--- a/tests/system/test_control_cuts.py
+++ b/tests/system/test_control_cuts.py
@@ -38,9 +38,7 @@
 def play(
     seed: int, whom: str, how: str, count: int = 3, tolerated: int = 1, replica_type: type = Replica
 ) -> list[str]:
-    world = World.__new__(World)
-    world.replica_type = replica_type
-    world.__init__(f"{seed} cut {whom} {how}", count, machines=tolerated)
+    world = World(f"{seed} cut {whom} {how}", count, machines=tolerated, replica_type=replica_type)
     clients = [Client(world, f"c{n}", BEGIN_S + 2 * CUT_S + SETTLE_S) for n in range(4)]
     for began in (BEGIN_S, BEGIN_S + CUT_S):
         world.run(began)
--- a/tests/system/test_control_leaving.py
+++ b/tests/system/test_control_leaving.py
@@ -15,17 +15,11 @@
 
 
 def world_of(seed: object, count: int = 3, machines: int = 1, replica_type: type = Replica) -> World:
-    world = World.__new__(World)
-    world.replica_type = replica_type
-    world.__init__(f"{seed} leaving", count, machines=machines)
+    world = World(f"{seed} leaving", count, machines=machines, replica_type=replica_type)
     world.run(6.0)
     return world
 
 
-def primary_of(world: World) -> Machine:
-    return next(machine for machine in world.running() if machine.replica.primary is not None)
-
-
 def acknowledge(world: World, expected: int = 0) -> None:
     """Have an order acknowledged."""
     before = len(world.acknowledged)
@@ -35,7 +29,7 @@
         if result is Outcome.ACCEPTED:
             world.accepted(order)
 
-    world.submit(primary_of(world), order, told)
+    world.submit(world.primary(), order, told)
     world.run(world.now + 0.5)
     assert len(world.acknowledged) == before + 1
 
@@ -56,7 +50,7 @@
     """A planned replacement up to the end of the machine replaced."""
     successor = world.add("spare", machine.zone)
     world.run(world.now + 5.0)
-    assert primary_of(world).replica.record.voter_ids >= {successor.identity, machine.identity}
+    assert world.primary().replica.record.voter_ids >= {successor.identity, machine.identity}
     world.leave(machine, world.remove)
     run_until_gone(world, machine)
     return successor
@@ -89,11 +83,11 @@
 
 
 def lost_after_replacement(world: World, after_s: float, leaves: str, loses: str) -> list[str]:
-    primary = primary_of(world)
+    primary = world.primary()
     backups = [machine for machine in world.running() if machine is not primary]
     successor = replaced(world, primary if leaves == "primary" else backups[0])
     world.run(world.now + after_s)
-    primary = primary_of(world)
+    primary = world.primary()
     others = [machine for machine in world.running() if machine not in (primary, successor)]
     victims = {"primary": primary, "backup": others[0], "successor": successor}
     lose_disk(world, victims[loses])
@@ -112,7 +106,7 @@
 def test_two_disks_of_six_may_be_lost_as_soon_as_a_replaced_machine_has_ended(seed):
     world = world_of(seed, 6, 2)
     acknowledge(world)
-    primary = primary_of(world)
+    primary = world.primary()
     replaced(world, next(machine for machine in world.running() if machine is not primary))
     lose_disk(world, primary)
     lose_disk(world, next(machine for machine in world.running() if machine is not primary))
@@ -132,7 +126,7 @@
     behind, leaver = [machine for machine in world.running() if machine.replica.primary is None]
     pairs = cut_off(world, behind)
     world.run(world.now + 3.0)
-    assert behind.identity not in primary_of(world).replica.record.in_sync
+    assert behind.identity not in world.primary().replica.record.in_sync
     acknowledge(world)
     world.join(pairs)
     return world, behind, leaver
@@ -143,7 +137,7 @@
     world, behind, leaver = with_one_behind(seed)
     world.leave(leaver, world.remove)
     run_until_gone(world, leaver)
-    primary = primary_of(world)
+    primary = world.primary()
     assert set(primary.replica.record.in_sync) == {primary.identity, behind.identity}
     for digest in world.acknowledged:
         assert ACCEPTED_PREFIX + digest in behind.disk.durable.state.entries
@@ -166,7 +160,7 @@
     run_until_gone(world, leaver)
     world.run(world.now + 0.2)
     assert successor.replica is not None
-    lose_disk(world, primary_of(world))
+    lose_disk(world, world.primary())
     assert goes_on(world) == []
 
 
@@ -177,7 +171,7 @@
     world.leave(leaver, world.remove)
     run_until_gone(world, leaver)
     world.run(world.now + 0.2)
-    lose_disk(world, primary_of(world))
+    lose_disk(world, world.primary())
     world.run(world.now + 10.0)
     assert not world.broken
     for digest in world.acknowledged:
@@ -192,7 +186,7 @@
     world.leave(leaver, lambda machine: None)
     run_until_gone(world, leaver)
     assert world.now - began < 1.0
-    record = primary_of(world).replica.record
+    record = world.primary().replica.record
     assert leaver.identity in record.voter_ids
     assert leaver.identity not in record.in_sync
     world.start(leaver)
@@ -203,12 +197,12 @@
 def test_a_primary_hands_over_and_leaves(seed):
     world = world_of(seed)
     acknowledge(world)
-    leaver = primary_of(world)
+    leaver = world.primary()
     began = world.now
     world.leave(leaver, lambda machine: None)
     run_until_gone(world, leaver)
     assert world.now - began < 1.5
-    assert primary_of(world) is not leaver
+    assert world.primary() is not leaver
     acknowledge(world, expected=1)
     world.start(leaver)
     assert goes_on(world) == []
--- a/tests/system/test_control_rehearsal.py
+++ b/tests/system/test_control_rehearsal.py
@@ -160,9 +160,7 @@
 
 def stale_read(replica_type) -> list[str]:
     """Whether a primary that was cut off and deposed answers a read before it learns of its successor."""
-    world = World.__new__(World)
-    world.replica_type = replica_type
-    world.__init__("stale read")
+    world = World("stale read", replica_type=replica_type)
     world.run(3.0)
     old = next(machine for machine in world.running() if machine.replica.primary is not None)
     others = {machine.host for machine in world.running()} - {old.host}
--- a/tests/system/test_control_upgrade.py
+++ b/tests/system/test_control_upgrade.py
@@ -45,9 +45,10 @@
     def __init__(self, seed: int, first: type, then: type):
         self.releases = {f"h{n}": first for n in range(3)}
         self.then = then
-        self.world = World.__new__(World)
-        self.world.replica_type = lambda info, *arguments: self.releases[info.host](info, *arguments)
-        self.world.__init__(f"{seed} upgrade", 3)
+        self.world = World(f"{seed} upgrade", 3, replica_type=self._replica)
+
+    def _replica(self, info, *arguments) -> Replica:
+        return self.releases[info.host](info, *arguments)
 
     def upgrade(self, host: str) -> None:
         self.world.leave(self.world.machines[host], self._start_other)
