Control on edge machines that count, PATCH /config, directory and redirection where there is no replica

Cause: the deploy file put control on core machines only; a deployment of edge machines alone, some with a disk, got no control at all. PATCH /config was answered 405.

Now a second role runs the control program on one edge machine a zone. Where the settings give a disk and the machine counts for the quorum it is a replica as on a core machine; elsewhere it is a relay: it follows the core machines' sources, answers /resolve from its own membership and sends orders on to the primary. Weighed: one process for traffic and control (90 machines would serve control_plane, so the core would be all of them, and a burst of traffic would hold up heartbeats); a process that idles or ends (look-ups and orders try it in vain, a crash loop). The processes of one machine had one member name: the control process has the role's name behind it. Publishers and replicas are found by membership as well, since seeds may be relays. RouteHomes goes by the control source's entries, which are made on the same commit anyway.

--- a/src/nettledeal/common/settings.py
+++ b/src/nettledeal/common/settings.py
@@ -123,6 +123,17 @@
     # A file with the private key of this process's region, for the keys of tenants.
     tenant_region_key: str | None = None
 
+    @property
+    def keeps_control_state(self) -> bool:
+        """Whether this machine has a replica of the control state: it has a disk, and what may be lost at
+        one time is bounded."""
+        return self.data_dir is not None and self.counts_for_quorum
+
+    @property
+    def control_member_name(self) -> str:
+        """The name of a process of the control side: a data plane on the same machine has the machine's."""
+        return f"{self.node_name}/{self.role}"
+
     def internal_address(self, port: InternalPort) -> Address:
         """This process's own address for internal traffic of one kind."""
         return Address(self.ip, self.port_range[0] + port)
--- a/src/nettledeal/control/decisions.py
+++ b/src/nettledeal/control/decisions.py
@@ -20,6 +20,7 @@
     PutConfiguration,
     SetEvacuation,
     SetTenantKey,
+    accepted_key,
 )
 
 # Accepted orders that are remembered, so that one that is sent again is acknowledged again.
@@ -39,8 +40,7 @@
 
 
 def _decide_configuration(state: ControlState, command: PutConfiguration) -> Decision:
-    accepted_key = ACCEPTED_PREFIX + command.digest.hex()
-    if accepted_key in state.entries:
+    if state.has_accepted(command.digest):
         return Decision(Outcome.ACCEPTED)
     if command.expected_version != state.generation:
         return Decision(Outcome.CONFLICT)
@@ -54,7 +54,7 @@
     changes = (
         Change(CONFIGURATION_KEY, pack_json(command.body)),
         Change(CONFIGURATION_META_KEY, msgspec.msgpack.encode(meta)),
-        Change(accepted_key, accepted_at),
+        Change(accepted_key(command.digest), accepted_at),
     )
     return Decision(Outcome.ACCEPTED, changes + tenancy.changes + _pruned(state))
 
--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from random import Random
 from uuid import uuid4
@@ -47,6 +47,8 @@
         self.settings = settings
         self.on_commit: list[Callable[[ControlState], None]] = []
         self.on_refused: Callable[[ServingError], None] = lambda error: None
+        # Hosts of other replicas that are known from elsewhere: seeds may have no replica.
+        self.known_hosts: Callable[[], Iterable[str]] = tuple
         self._folder = Path(storage_dir or settings.data_dir or ".")
         self._timing = timing_for(settings.bounds)
         self._writer = Writer(self._on_synced)
@@ -279,6 +281,7 @@
         if self.confirmed_age_s() > self._timing.gone_s:
             hosts |= {parse_address(seed).host for seed in self.settings.seeds}
             hosts |= {info.host for info in self._replica.known.values()}
+            hosts |= set(self.known_hosts())
         self._mesh.want(hosts)
 
     # Time
--- a/src/nettledeal/control/state.py
+++ b/src/nettledeal/control/state.py
@@ -40,6 +40,11 @@
     value: bytes | None
 
 
+def accepted_key(digest: bytes) -> str:
+    """The key of an accepted order."""
+    return ACCEPTED_PREFIX + digest.hex()
+
+
 @dataclass(frozen=True, slots=True)
 class ControlState:
     """An immutable version of the control state."""
@@ -72,6 +77,10 @@
             key.removeprefix(EVACUATION_PREFIX) for key in self.entries if key.startswith(EVACUATION_PREFIX)
         )
 
+    def has_accepted(self, digest: bytes) -> bool:
+        """Whether the order of that digest is among those remembered as accepted."""
+        return accepted_key(digest) in self.entries
+
     def after(self, sequence: int, changes: tuple[Change, ...]) -> ControlState:
         """The state that follows from these changes."""
         evolver = self.entries.evolver()
--- a/src/nettledeal/distribution/targets.py
+++ b/src/nettledeal/distribution/targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 import xxhash
@@ -21,6 +21,7 @@
     port: int
     zone: str
     region: str
+    primary: bool = False
 
     @property
     def address(self) -> Address:
@@ -45,17 +46,27 @@
 class CoreDirectory:
     """The core machines that one process knows, for the `targets` of its subscriber."""
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, member_hosts: Callable[[], Iterable[str]] = tuple):
+        """`member_hosts`: where membership sees a replica of the control state."""
         self._settings = settings
+        self._member_hosts = member_hosts
+        self._cores: list[CoreMachine] = []
         self._targets = ordered_targets(settings, [])
 
+    def cores(self) -> list[CoreMachine]:
+        """The core machines as last told."""
+        return self._cores
+
     def learn(self, entries: Mapping[str, bytes]) -> None:
         """Take over the entries of the `cores` source."""
-        self._targets = ordered_targets(self._settings, read_cores(entries))
+        self._cores = read_cores(entries)
+        self._targets = ordered_targets(self._settings, self._cores)
 
     def targets(self) -> list[Address]:
-        """All publishers, those preferred first."""
-        return self._targets
+        """All publishers, those preferred first; last those that only membership knows of."""
+        port = self._settings.port_range[0] + InternalPort.DISTRIBUTION
+        members = [Address(host, port) for host in self._member_hosts()]
+        return self._targets + [address for address in members if address not in self._targets]
 
 
 def ordered_targets(settings: Settings, cores: Iterable[CoreMachine]) -> list[Address]:
--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -45,9 +45,16 @@
 
     EDGE = "edge"
     CORE = "core"
+    RELAY = "relay"
 
 
-_PORTS = {Role.EDGE: InternalPort.EDGE_MEMBERSHIP, Role.CORE: InternalPort.CORE_MEMBERSHIP}
+_PORTS = {
+    Role.EDGE: InternalPort.EDGE_MEMBERSHIP,
+    Role.CORE: InternalPort.CORE_MEMBERSHIP,
+    Role.RELAY: InternalPort.CORE_MEMBERSHIP,
+}
+# Members that answer clients asking where to go: what changes is told to them at once.
+_TOLD_AT_ONCE = frozenset({Role.CORE, Role.RELAY})
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +126,7 @@
         self._members: list[MemberInfo] | None = None
         address = settings.internal_address(_PORTS[role])
         self.member = Member(
-            settings.node_name,
+            settings.node_name if role is Role.EDGE else settings.control_member_name,
             tuple(address),
             CLUSTER,
             [tuple(seed) for seed in settings.seed_addresses(InternalPort.CORE_MEMBERSHIP)],
@@ -170,6 +177,10 @@
             ]
         return self._members
 
+    def core_hosts(self) -> list[str]:
+        """The hosts of live processes that have a replica of the control state."""
+        return [member.host for member in self.members() if member.role == Role.CORE]
+
     def is_member(self, name: str) -> bool:
         """Whether a process of that name lives, as far as is known."""
         return any(member.name == name for member in self.members())
@@ -195,7 +206,7 @@
 
     def _describe(self, **changes: object) -> None:
         metadata = msgspec.structs.replace(self.member.me.metadata, **changes)
-        cores = [Address(*word.address) for word in self.member.view.live() if _is_core(word)]
+        cores = [Address(*word.address) for word in self.member.view.live() if _is_told_at_once(word)]
         self._host.describe(metadata, cores)
         for delay_s in REPEAT_AFTER_S:
             gevent.spawn_later(delay_s, self._host.tell, cores)
@@ -204,7 +215,7 @@
     def _told(self, act: Act) -> None:
         if not isinstance(act, Changed):
             return
-        if act.before is None and act.word.live and _is_core(act.word):
+        if act.before is None and act.word.live and _is_told_at_once(act.word):
             # A core member that has just come may have been told of this one by somebody who knows less.
             self._host.tell([Address(*act.word.address)])
         self._changed()
@@ -221,8 +232,8 @@
     return Metadata(str(role), settings.zone, port)
 
 
-def _is_core(word: Word) -> bool:
-    return word.metadata is not None and word.metadata.role == Role.CORE
+def _is_told_at_once(word: Word) -> bool:
+    return word.metadata is not None and word.metadata.role in _TOLD_AT_ONCE
 
 
 def _member_info(word: Word, regions: dict[str, str]) -> MemberInfo:
--- a/src/nettledeal/operator_api/api.py
+++ b/src/nettledeal/operator_api/api.py
@@ -17,6 +17,7 @@
 from nettledeal.control.state import TENANTS_KEY, ControlState, Outcome, PutConfiguration, SetEvacuation
 from nettledeal.operator_api.configuration import Configuration
 from nettledeal.operator_api.configuration_checks import parse_configuration
+from nettledeal.operator_api.configuration_patch import parse_patch, patched
 from nettledeal.operator_api.messages import Header, Request, Response, accepted, redirected, refused, unclear
 from nettledeal.operator_api.node import ControlNode
 from nettledeal.operator_api.orders import ANSWER_WITHIN_S, OrdersUnderWay, Task
@@ -36,7 +37,7 @@
 
 
 def order_digest(body: bytes) -> bytes:
-    """Identifies a configuration that is sent again."""
+    """Identifies a configuration, or a patch of one, that is sent again."""
     return xxhash.xxh3_128_digest(body)
 
 
@@ -71,9 +72,11 @@
         if request.path == CONFIGURATION_PATH:
             if request.method is HTTPMethod.PUT:
                 return self._redirect(request) or self._put_configuration(request)
+            if request.method is HTTPMethod.PATCH:
+                return self._redirect(request) or self._patch_configuration(request)
             if request.method is HTTPMethod.GET:
                 return self._redirect(request) or self._get_configuration()
-            return refused(HTTPStatus.METHOD_NOT_ALLOWED, "GET or PUT")
+            return refused(HTTPStatus.METHOD_NOT_ALLOWED, "GET, PUT or PATCH")
         if request.path.startswith(EVACUATIONS_PATH):
             if request.method not in (HTTPMethod.POST, HTTPMethod.DELETE):
                 return refused(HTTPStatus.METHOD_NOT_ALLOWED, "POST or DELETE")
@@ -105,12 +108,36 @@
             configuration = parse_configuration(request.body)
         except ServingError as error:
             return refused(HTTPStatus.BAD_REQUEST, error.reason)
+        return self._submit(expected_version, configuration, order_digest(request.body), request.body)
+
+    def _patch_configuration(self, request: Request) -> Response:
+        """Put the configuration in force that follows from the present one by a patch.
+
+        A patch that was taken before is acknowledged again, whatever has changed since.
+        """
+        try:
+            expected_version = read_version(request.if_match)
+            patch = parse_patch(request.body)
+        except ServingError as error:
+            return refused(HTTPStatus.BAD_REQUEST, error.reason)
+        digest = order_digest(request.body)
+        state = self._read()
+        if state.has_accepted(digest):
+            return accepted()
+        if state.configuration is None or expected_version != state.generation:
+            return refused(HTTPStatus.PRECONDITION_FAILED, f"the current version is {state.generation}")
+        try:
+            body = patched(state.configuration, patch)
+            configuration = parse_configuration(body)
+        except ServingError as error:
+            return refused(HTTPStatus.BAD_REQUEST, error.reason)
+        return self._submit(expected_version, configuration, digest, body)
+
+    def _submit(
+        self, expected_version: int, configuration: Configuration, digest: bytes, body: bytes
+    ) -> Response:
         command = PutConfiguration(
-            expected_version,
-            configuration.generation,
-            order_digest(request.body),
-            request.body,
-            self._claims_of(configuration),
+            expected_version, configuration.generation, digest, body, self._claims_of(configuration)
         )
         outcome = self._orders.put_configuration(command)
         if outcome is Outcome.ACCEPTED:
--- a/src/nettledeal/operator_api/client.py
+++ b/src/nettledeal/operator_api/client.py
@@ -91,8 +91,15 @@
 
     def put_configuration(self, body: bytes, expected_version: int) -> OperatorAnswer:
         """Put a configuration on top of a version."""
+        return self._send_configuration(HTTPMethod.PUT, body, expected_version)
+
+    def patch_configuration(self, body: bytes, expected_version: int) -> OperatorAnswer:
+        """Change named items of the configuration of a version."""
+        return self._send_configuration(HTTPMethod.PATCH, body, expected_version)
+
+    def _send_configuration(self, method: HTTPMethod, body: bytes, expected_version: int) -> OperatorAnswer:
         headers = {"If-Match": str(expected_version), "Content-Type": JSON}
-        return self.call(Order(HTTPMethod.PUT, CONFIGURATION_PATH, body, headers))
+        return self.call(Order(method, CONFIGURATION_PATH, body, headers))
 
     def get_configuration(self) -> OperatorAnswer:
         """The configuration in force."""
--- a/src/nettledeal/operator_api/messages.py
+++ b/src/nettledeal/operator_api/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPMethod, HTTPStatus
 
@@ -37,6 +38,13 @@
     body: bytes = b""
     headers: list[Header] = field(default_factory=list)
 
+    def begin(self, start_response: Callable[[str, list[tuple[str, str]]], object]) -> list[bytes]:
+        """Hand status and headers to a WSGI server; returns the body."""
+        headers = [("Content-Type", JSON), ("Content-Length", str(len(self.body)))]
+        headers.extend((header.name, header.value) for header in self.headers)
+        start_response(f"{self.status.value} {self.status.phrase}", headers)
+        return [self.body]
+
 
 class Explanation(msgspec.Struct, frozen=True):
     """The body of an answer that is no success."""
--- a/src/nettledeal/operator_api/server.py
+++ b/src/nettledeal/operator_api/server.py
@@ -13,7 +13,7 @@
 from nettledeal.common.logs import log_event
 from nettledeal.common.settings import Settings
 from nettledeal.operator_api.api import OperatorApi, StatusSection
-from nettledeal.operator_api.messages import JSON, Request, Response, refused, unclear
+from nettledeal.operator_api.messages import Request, Response, refused, unclear
 from nettledeal.operator_api.node import ControlNode
 
 MAX_BODY_BYTES = 16 << 20
@@ -39,11 +39,7 @@
 
     def _serve(self, environ: dict, start_response: Callable) -> list[bytes]:
         """The WSGI application."""
-        response = self._respond(environ)
-        headers = [("Content-Type", JSON), ("Content-Length", str(len(response.body)))]
-        headers.extend((header.name, header.value) for header in response.headers)
-        start_response(f"{response.status.value} {response.status.phrase}", headers)
-        return [response.body]
+        return self._respond(environ).begin(start_response)
 
     def _respond(self, environ: dict) -> Response:
         if environ["REQUEST_METHOD"] not in KNOWN_METHODS:
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -45,12 +45,15 @@
         self.publisher = Publisher(settings, sources)
         self.reader = CatalogueReader(settings, self.node, self.catalogue, self.publisher.notify)
         self.subscriber = Subscriber(
-            settings, settings.node_name, self._reader_addresses, [CATALOGUE_SOURCE], self._relay_catalogue
+            settings,
+            settings.control_member_name,
+            self._reader_addresses,
+            [CATALOGUE_SOURCE],
+            self._relay_catalogue,
         )
         self.membership = MembershipNode(settings, Role.CORE)
+        self.node.known_hosts = self.membership.core_hosts
         self.registry = RegistryServer(settings, self.membership) if settings.listen.directory else None
-        if self.registry is not None:
-            self.node.on_commit.append(self.registry.configure)
         self.operator_api = OperatorServer(
             settings,
             self.node,
@@ -92,8 +95,11 @@
         log_event("process:reloaded")
 
     def _publish_control(self, state: ControlState) -> None:
-        if self.control.publish((state.sequence,), control_entries(state.entries)):
+        entries = control_entries(state.entries)
+        if self.control.publish((state.sequence,), entries):
             self.publisher.notify()
+        if self.registry is not None:
+            self.registry.configure(entries)
 
     def _reader_addresses(self) -> list[Address]:
         """Where the reader's catalogue can be had; nowhere while this machine is the reader."""
@@ -130,7 +136,9 @@
             return
         port = self.settings.port_range[0] + InternalPort.DISTRIBUTION
         machines = {
-            voter.replica_id: CoreMachine(voter.host, port, voter.zone, voter.region)
+            voter.replica_id: CoreMachine(
+                voter.host, port, voter.zone, voter.region, voter.replica_id == record.primary
+            )
             for voter in record.voters
         }
         self.cores.publish((record.epoch,), core_entries(machines))
@@ -138,5 +146,9 @@
 
 
 def run(settings: Settings) -> int:
-    """Run the control plane until it is told to stop."""
-    return run_plane(settings, lambda: ControlPlane(settings))
+    """Run the control plane until it is told to stop; without a replica where the machine may have none."""
+    if settings.keeps_control_state:
+        return run_plane(settings, lambda: ControlPlane(settings))
+    from nettledeal.programs.control_relay import ControlRelay
+
+    return run_plane(settings, lambda: ControlRelay(settings))
--- a/src/nettledeal/programs/data_plane.py
+++ b/src/nettledeal/programs/data_plane.py
@@ -29,8 +29,8 @@
     def __init__(self, settings: Settings):
         self.settings = settings
         self.data_plane = DataPlane(settings)
-        self.directory = CoreDirectory(settings)
         self.membership = MembershipNode(settings, Role.EDGE)
+        self.directory = CoreDirectory(settings, self.membership.core_hosts)
         self.membership.on_change.append(self._members_changed)
         self._counting: gevent.Greenlet | None = None
         self.data_plane.on_ready_changed = self.membership.set_ready
--- a/src/nettledeal/registry/homes.py
+++ b/src/nettledeal/registry/homes.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
-from nettledeal.control.state import ConfigurationMeta, ControlState
+from nettledeal.distribution.control_source import GENERATION_KEY, ROUTE_PREFIX, TENANT_ROUTE_PREFIX
+
+_ROUTES = (ROUTE_PREFIX, TENANT_ROUTE_PREFIX)
 
 
 class _HomeRoute(msgspec.Struct, frozen=True):
@@ -14,27 +18,29 @@
     home_regions: list[str] = []
 
 
-class _HomeRoutes(msgspec.Struct, frozen=True):
-    routes: list[_HomeRoute] = []
-
-
-_DECODER = msgspec.json.Decoder(_HomeRoutes)
+_DECODER = msgspec.json.Decoder(_HomeRoute)
 
 
 class RouteHomes:
     """Tells, for a host, in which regions its routes with homes may all be served."""
 
     def __init__(self) -> None:
-        self._meta: ConfigurationMeta | None = None
+        self._generation: bytes | None = None
         self._by_host: dict[str, frozenset[str]] = {}
 
-    def update(self, state: ControlState) -> bool:
-        """Take over a committed state; whether the configuration in it is another one."""
-        meta = state.configuration_meta
-        if meta is None or meta == self._meta:
+    @property
+    def known(self) -> bool:
+        """Whether a configuration has been taken over."""
+        return self._generation is not None
+
+    def update(self, entries: Mapping[str, bytes]) -> bool:
+        """Take over the entries of the `control` source; whether the configuration in them is another one."""
+        generation = entries.get(GENERATION_KEY)
+        if generation is None or generation == self._generation:
             return False
-        self._meta = meta
-        self._by_host = _homes_by_host(_DECODER.decode(state.configuration or b"{}").routes)
+        self._generation = generation
+        routes = [value for key, value in entries.items() if key.startswith(_ROUTES)]
+        self._by_host = _homes_by_host([_DECODER.decode(route) for route in routes])
         return True
 
     def of_host(self, hostname: str) -> frozenset[str] | None:
--- a/src/nettledeal/registry/server.py
+++ b/src/nettledeal/registry/server.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from urllib.parse import parse_qs
 
 from nettledeal.common.addresses import parse_address
 from nettledeal.common.http_server import HttpServer
 from nettledeal.common.settings import Settings
-from nettledeal.control.state import ControlState
 from nettledeal.membership.node import MembershipNode
 from nettledeal.registry.answers import Answers, Place
 from nettledeal.registry.homes import RouteHomes
@@ -21,7 +20,9 @@
 class RegistryServer(HttpServer):
     """Serves `/resolve` from the view of this process's membership."""
 
-    def __init__(self, settings: Settings, membership: MembershipNode):
+    def __init__(self, settings: Settings, membership: MembershipNode, awaits_configuration: bool = False):
+        """`awaits_configuration`: nothing is told before the homes of routes are known."""
+        self._awaits_configuration = awaits_configuration
         self._membership = membership
         self._regions = settings.zones
         self._homes = RouteHomes()
@@ -30,9 +31,9 @@
         membership.on_change.append(self._view_changed)
         super().__init__(parse_address(settings.listen.directory), self.application)
 
-    def configure(self, state: ControlState) -> None:
-        """Go by the homes of routes in a committed state."""
-        if self._homes.update(state):
+    def configure(self, entries: Mapping[str, bytes]) -> None:
+        """Go by the homes of routes in the entries of the `control` source."""
+        if self._homes.update(entries):
             self._answers.clear()
 
     def _view_changed(self) -> None:
@@ -48,7 +49,8 @@
         region = self._regions.get(zone) or query.get("region", [""])[0]
         place = Place(region, zone, self._homes.of_host(query.get("name", [""])[0]))
         members = self._leaving.without_late(self._membership.members(), time.monotonic())
-        body = self._answers.body(members, place, environ.get("REMOTE_ADDR", ""))
+        waiting = self._awaits_configuration and not self._homes.known
+        body = None if waiting else self._answers.body(members, place, environ.get("REMOTE_ADDR", ""))
         if body is None:
             return _respond(start_response, "503 Service Unavailable", b"{}", ("Retry-After", RETRY_AFTER_S))
         return _respond(start_response, "200 OK", body)
--- a/tests/system/test_deploy_file.py
+++ b/tests/system/test_deploy_file.py
@@ -25,7 +25,7 @@
 
 def test_the_repository_s_own_file():
     deployment = read_deploy_file(ROOT / "deploy" / "system.toml")
-    assert set(deployment.roles) == {"data-plane", "control-plane"}
+    assert set(deployment.roles) == {"data-plane", "control-plane", "edge-control"}
     assert "python3" in deployment.packages
 
 
--- a/tests/system/test_registry_answers.py
+++ b/tests/system/test_registry_answers.py
@@ -4,18 +4,12 @@
 from collections import Counter
 from types import SimpleNamespace
 
-import msgspec
 import pytest
-from pyrsistent import pmap
 
 from nettledeal.common.compression import pack_json
 from nettledeal.common.settings import Listen, Settings
-from nettledeal.control.state import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_META_KEY,
-    ConfigurationMeta,
-    ControlState,
-)
+from nettledeal.control.state import CONFIGURATION_KEY
+from nettledeal.distribution.control_source import control_entries
 from nettledeal.membership.node import MemberInfo
 from nettledeal.registry.answers import MAX_ADDRESSES, SHORT_TTL_S, Answers, Place, choose, nearest
 from nettledeal.registry.leaving import LeavingMembers
@@ -143,7 +137,7 @@
     return seen
 
 
-def registry():
+def registry(awaits_configuration=False):
     membership = FakeMembership()
     settings = Settings(
         "c",
@@ -158,7 +152,7 @@
         REGIONS,
         listen=Listen(directory="127.0.0.1:1"),
     )
-    return RegistryServer(settings, membership), membership
+    return RegistryServer(settings, membership, awaits_configuration), membership
 
 
 def test_an_answer_follows_each_change_of_the_view():
@@ -221,10 +215,9 @@
 
 
 def configured(generation, *routes):
-    meta = ConfigurationMeta(generation, b"digest")
-    body = json.dumps({"generation": generation, "routes": list(routes)}).encode()
-    entries = {CONFIGURATION_KEY: pack_json(body), CONFIGURATION_META_KEY: msgspec.msgpack.encode(meta)}
-    return ControlState(generation, pmap(entries))
+    placed = [{"path_prefix": f"/{number}/", **route} for number, route in enumerate(routes)]
+    body = json.dumps({"generation": generation, "routes": placed}).encode()
+    return control_entries({CONFIGURATION_KEY: pack_json(body)})
 
 
 def test_the_homes_of_a_host_are_those_that_bind_all_of_its_routes_with_homes():
@@ -246,6 +239,14 @@
     assert addresses() == ["h:1", "h:5", "h:6"]
 
 
+def test_where_the_configuration_is_awaited_nothing_is_told_before_its_homes_are_known():
+    server, membership = registry(awaits_configuration=True)
+    membership.listed = [edge(1), edge(5, "z3"), edge(6, "z3")]
+    assert ask(server).status.startswith("503")
+    server.configure(configured(1, {"hostname": "h", "home_regions": ["r1"]}))
+    assert json.loads(ask(server).body)["addresses"] == ["h:1"]
+
+
 def test_a_member_is_told_for_a_part_of_the_time_in_which_it_expects_clients():
     leaving, staying = edge(1, leaving=True, ready=False), edge(2)
     members = LeavingMembers(arrivals_s=3.0)
