--- a/src/nettledeal/capacity/registry.py
+++ b/src/nettledeal/capacity/registry.py
@@ -31,6 +31,10 @@
         """The members."""
         return self.known
 
+    def zones_in_doubt(self) -> frozenset[str]:
+        """None: no member is lost."""
+        return frozenset()
+
 
 def registry(size: int, seed: int) -> Iterator[Row]:
     """Answers about `size` agents."""
--- a/src/nettledeal/dataplane/agent.py
+++ b/src/nettledeal/dataplane/agent.py
@@ -53,6 +53,7 @@
         self.selector = Selector(tuning, settings.zone, settings.region, settings.zones, self.random)
         self.stock = MemoryPool(int(settings.limits.memory_mb * MEBIBYTE * MESSAGE_MEMORY_SHARE))
         self.connections = BackendConnections(self.stock)
+        self.selector.placement.connected = self._connected
         self.forwarding = Forwarding(self.selector, self.budget, self.connections, self.random)
         max_clients = int((settings.limits.max_fds - RESERVED_FDS) * CLIENT_FDS_SHARE)
         self.ingress = Ingress(self.forwarding, self.stock, max(16, max_clients))
@@ -159,6 +160,10 @@
         self.connections.members = max(1, count)
         self.selector.set_agents(names, self.settings.node_name, time.monotonic())
 
+    def set_doubted_zones(self, zones: Collection[str]) -> None:
+        """Take the zones that may be lost as a whole, by the members that are."""
+        self.selector.set_doubted(zones)
+
     def stop(self) -> None:
         """Leave service in order; returns once every request has its answer, or the grace is nearly over."""
         was_ready = self.ready
@@ -170,6 +175,9 @@
         if self._sweeping is not None:
             self._sweeping.kill()
 
+    def _connected(self, backend_id: str, now: float) -> bool:
+        return self.connections.rests(backend_id, now, self.selector.most_rest_s(backend_id, now))
+
     def _update_connections(self) -> None:
         self._connection_terms = self._terms()
         usable = [
--- a/src/nettledeal/dataplane/backend_connections.py
+++ b/src/nettledeal/dataplane/backend_connections.py
@@ -34,9 +34,6 @@
 # Where it tells nothing, its limit may be anything under a second.
 UNTOLD_IDLE_S = 0.3
 MOST_IDLE_S = 10.0
-# A request that must not run twice takes no connection that has rested for longer: its backend may have gone
-# or forgotten the connection without a word. A new connection that does not come up costs nothing.
-MOST_IDLE_UNREPEATABLE_S = 0.5
 # Of the connections that a backend accepts from all agents together, what this agent's part is used up to.
 CONNECTIONS_SHARE = 0.8
 UNLIMITED_CONNECTIONS = 1 << 16
@@ -126,15 +123,23 @@
         """How many connections may be open at once."""
         return self.part.max_open
 
-    def acquire(self, now: float, timeout_s: float, repeatable: bool = True) -> BackendConnection:
-        """The connection used last if it may be used again, for a request of this kind, else a new one.
+    def rests(self, now: float, most_idle_s: float) -> bool:
+        """Whether `acquire` would probably find a connection that it may use again."""
+        if not self.idle:
+            return False
+        last = self.idle[-1]
+        return not last.rested(now) and now - last.idle_since < most_idle_s
+
+    def acquire(self, now: float, timeout_s: float, most_idle_s: float = MOST_IDLE_S) -> BackendConnection:
+        """The connection used last if it has rested for less than `most_idle_s`, else a new one: one that
+        does not come up costs nothing.
 
         Raises ServingError: UNAVAILABLE where no more may be opened, CONNECTION_LOST where the backend
         cannot be reached. Nothing has been sent in either case.
         """
         while self.idle:
             connection = self.idle.pop()
-            if connection.reusable(now, MOST_IDLE_S if repeatable else MOST_IDLE_UNREPEATABLE_S):
+            if connection.reusable(now, most_idle_s):
                 connection.rested_s = now - connection.idle_since
                 return connection
             connection.close()
@@ -270,6 +275,11 @@
         """The pool of a backend, None once it is draining or gone."""
         return self.pools.get(backend_id)
 
+    def rests(self, backend_id: str, now: float, most_idle_s: float) -> bool:
+        """Whether a connection to the backend rests that may be used again."""
+        pool = self.pools.get(backend_id)
+        return pool is not None and pool.rests(now, most_idle_s)
+
     def close_idle(self, now: float) -> None:
         """Close what has been idle for its time, everywhere."""
         for pool in self._idle_pools():
--- a/src/nettledeal/dataplane/forwarding.py
+++ b/src/nettledeal/dataplane/forwarding.py
@@ -25,12 +25,13 @@
     is_refusal,
 )
 from nettledeal.dataplane.backend_answer import BackendAnswer
-from nettledeal.dataplane.backend_connections import BackendConnection, BackendConnections
+from nettledeal.dataplane.backend_connections import MOST_IDLE_S, BackendConnection, BackendConnections
 from nettledeal.dataplane.budgets import RetryBudget
 from nettledeal.dataplane.call_description import describe_call
 from nettledeal.dataplane.client_request import ClientRequest
 from nettledeal.dataplane.routing_table import RouteTarget
 from nettledeal.dataplane.selection import AttemptOutcome, Backend, CallDescription, Refusal, Selector
+from nettledeal.dataplane.server_load import LOAD_HEADER, read_server_load
 from nettledeal.dataplane.silence import SilenceCheck
 from nettledeal.net.protocol.framing import Malformed
 from nettledeal.net.transport.buffers import OutOfMemory
@@ -177,7 +178,7 @@
                 return self._not_sent()
             silence.expect_head()
             answer.read_head()
-            selector.first_event(attempt, time.monotonic())
+            selector.first_event(attempt, time.monotonic(), read_server_load(answer.header(LOAD_HEADER)))
             silence.expect_events(self.target.resumable)
             end = self._take(answer)
             outcome = attempt_outcome(answer, end)
@@ -205,7 +206,10 @@
         if pool is None:
             raise ServingError(ErrorCode.UNAVAILABLE, "connect to backend", "not in use", backend_id)
         try:
-            connection = pool.acquire(now, self.deadline - now, self.target.repeatable)
+            rest_s = MOST_IDLE_S
+            if not self.target.repeatable:
+                rest_s = self.forwarding.selector.most_rest_s(backend_id, now)
+            connection = pool.acquire(now, self.deadline - now, rest_s)
         except ServingError:
             if self.client_left:
                 raise ClientLeft from None
--- a/src/nettledeal/dataplane/selection/model.py
+++ b/src/nettledeal/dataplane/selection/model.py
@@ -87,6 +87,14 @@
     reason: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Requests that a backend runs, and that wait there, by its own word; an answer's own is among them."""
+
+    running: int
+    waiting: int
+
+
 class AttemptOutcome(Enum):
     """How an attempt at a backend ended."""
 
@@ -197,6 +205,15 @@
     check_factor: float = 2.0
     check_share: float = 0.3
     least_check_s: float = 0.2
+    # How long a connection may rest before a request that must not run twice is sent on it: its backend may
+    # have gone, or forgotten the connection, without a word. Less where its zone gave trouble of late.
+    calm_rest_s: float = 2.0
+    troubled_rest_s: float = 0.5
+    trouble_memory_s: float = 10.0
+    # How much longer the queue of a backend counts to which a connection has to be opened, in requests.
+    connecting_queue: float = 0.5
+    # Zones in doubt are left out where the other backends are at least this share of those that may be used.
+    least_sound_share: float = 0.5
     # Safety kept from the rule for cold backends.
     warmup_margin: float = 0.7
     warmup_delay_s: float = 0.3
--- a/src/nettledeal/dataplane/selection/placement.py
+++ b/src/nettledeal/dataplane/selection/placement.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from random import Random
 
 from nettledeal.dataplane.selection.affinity import ordered
@@ -30,6 +30,8 @@
         self.region = region
         self.zones = zones
         self.random = random
+        # Whether a connection to the backend of that id rests here that a request may be sent on.
+        self.connected: Callable[[str, float], bool] = lambda backend_id, now: True
 
     def region_of(self, record: BackendRecord) -> str:
         """The region of a backend."""
@@ -173,6 +175,8 @@
             queue = queues[record.backend.id]
             if record.backend.zone != self.zone:
                 queue += self.tuning.other_zone_queue
+            if not self.connected(record.backend.id, now):
+                queue += self.tuning.connecting_queue
             trust = (1.0 - record.health.distrust(now)) ** self.tuning.distrust_power
             weights.append(trust * (1.0 + queue) ** -self.tuning.sharpness)
         return self.random.choices(group, weights)[0]
--- a/src/nettledeal/dataplane/selection/record.py
+++ b/src/nettledeal/dataplane/selection/record.py
@@ -5,7 +5,8 @@
 from collections import OrderedDict
 
 from nettledeal.dataplane.selection.health import Health
-from nettledeal.dataplane.selection.model import Attempt, Backend, CallDescription, Tuning
+from nettledeal.dataplane.selection.model import Attempt, Backend, CallDescription, ReportedLoad, Tuning
+from nettledeal.dataplane.selection.smoothed_queue import SmoothedQueue
 
 
 class BackendRecord:
@@ -18,8 +19,7 @@
         self.cold_until = float("-inf")
         self.told_warmup_ms = 0.0
         self.attempts: dict[int, Attempt] = {}
-        self.queue = 0.0
-        self.queue_at = float("-inf")
+        self.queue = SmoothedQueue(tuning.history, tuning.smoothing_window_s)
         self.full_until_reading = False
         self.heard_at = float("-inf")
         self.prefixes: OrderedDict[str, float] = OrderedDict()
@@ -60,26 +60,23 @@
                 queue += 1.0 + attempt.uncached_tokens / self.tuning.tokens_per_queued
         return queue
 
+    def others_queue(self, load: ReportedLoad, engine: bool) -> float:
+        """What a backend tells of its load, less own attempts, in requests."""
+        running = self.tuning.running_queue if engine else 1.0
+        return max(0.0, load.waiting + running * load.running - self.own_queue(engine))
+
     def remembered_queue(self, now: float) -> float:
         """The smoothed queue, which fades while nothing is heard."""
-        if self.full_until_reading:
-            return self.queue
-        age = max(0.0, now - self.queue_at)
-        return self.queue * self.tuning.history ** (age / self.tuning.smoothing_window_s)
+        return self.queue.last if self.full_until_reading else self.queue.value(now)
 
     def reading(self, queue: float, now: float) -> None:
         """Take a new reading of the queue, in requests."""
-        remembered = self.remembered_queue(now)
-        age = min(1.0, max(0.0, now - self.queue_at) / self.tuning.smoothing_window_s)
-        weight = (1.0 - self.tuning.history) * max(0.3, age)
-        self.queue = remembered + weight * (queue - remembered)
-        self.queue_at = now
+        self.queue.add(queue, now, fades=not self.full_until_reading)
         self.full_until_reading = False
 
     def full(self, threshold: float, now: float) -> None:
         """A declined attempt sets the queue at the threshold until the next reading."""
-        self.queue = max(self.remembered_queue(now), threshold)
-        self.queue_at = now
+        self.queue.set(max(self.remembered_queue(now), threshold), now)
         self.full_until_reading = True
 
     def silent(self, now: float) -> bool:
--- a/src/nettledeal/dataplane/selection/selector.py
+++ b/src/nettledeal/dataplane/selection/selector.py
@@ -18,6 +18,7 @@
     Backend,
     CallDescription,
     Refusal,
+    ReportedLoad,
     ServiceProfile,
     Tuning,
     Zones,
@@ -27,6 +28,7 @@
 from nettledeal.dataplane.selection.reports import FailureReports
 from nettledeal.dataplane.selection.service_state import ServiceState
 from nettledeal.dataplane.selection.warmup import MembersSeen, WarmupShares
+from nettledeal.dataplane.selection.zone_trouble import ZoneTrouble
 
 
 class Selector:
@@ -41,10 +43,12 @@
         self.services: dict[str, ServiceState] = {}
         self.records: dict[str, BackendRecord] = {}
         self.evacuated: frozenset[str] = frozenset()
+        self.doubted: frozenset[str] = frozenset()
         self.lost = LostBackends()
         self.candidates = Candidates(tuning, region, zones, random)
         self.busy: dict[str, BackendRecord] = {}  # have own attempts, or had them lately
         self.reports = FailureReports(tuning.report_again_s)
+        self.trouble = ZoneTrouble(tuning.trouble_memory_s)
 
     def update_services(self, services: Iterable[ServiceProfile], now: float) -> None:
         """Take the services of the configuration in force."""
@@ -90,6 +94,10 @@
             if record.backend.zone in returned:
                 self._presume_cold(record, now)
 
+    def set_doubted(self, zones: Collection[str]) -> None:
+        """Take the zones that may be lost as a whole; never the own one, in which this process lives."""
+        self.doubted = frozenset(zones) - {self.placement.zone}
+
     def set_agents(self, names: Iterable[str], own_name: str, now: float) -> None:
         """Take the live data-plane members."""
         self.members.set(names, own_name, now)
@@ -110,7 +118,7 @@
         part = self.candidates.part(state, call, self.evacuated)
         if part is not None:
             allowed = [record for record in part if self._allowed(record, call, excluded)]
-            usable = [record for record in allowed if self._usable(record, state, now)]
+            usable = self._outside_doubt([record for record in allowed if self._usable(record, state, now)])
             if usable:
                 return self.placement.place(usable, allowed, call, state, now).backend
         return self._choose_among_all(call, state, now, excluded)
@@ -121,7 +129,7 @@
         allowed = [record for record in state.records.values() if self._allowed(record, call, excluded)]
         if not allowed:
             return Refusal(self.tuning.retry_after_s, "no backend")
-        usable = [record for record in allowed if self._usable(record, state, now)]
+        usable = self._outside_doubt([record for record in allowed if self._usable(record, state, now)])
         if not usable:
             usable = [record for record in allowed if self._last_resort(record, state, now)]
         if not usable:
@@ -142,6 +150,13 @@
             return False
         return self._warm_enough(record, state, now)
 
+    def _outside_doubt(self, usable: list[BackendRecord]) -> list[BackendRecord]:
+        """Those outside doubted zones, if they are enough to bear the load of all."""
+        if not self.doubted:
+            return usable
+        sound = [record for record in usable if record.backend.zone not in self.doubted]
+        return sound if len(sound) >= self.tuning.least_sound_share * len(usable) else usable
+
     def _last_resort(self, record: BackendRecord, state: ServiceState, now: float) -> bool:
         """Distrust yields when nothing else is left; the rule for cold backends does not."""
         reachable = record.health.trust(now) is not Trust.UNREACHABLE and not record.silent(now)
@@ -167,8 +182,8 @@
         self.warmup.sent(backend_id, now)
         return attempt
 
-    def first_event(self, attempt: Attempt, now: float) -> None:
-        """The backend sent the first event of a stream, or the head of another answer."""
+    def first_event(self, attempt: Attempt, now: float, load: ReportedLoad | None = None) -> None:
+        """The backend sent the first event of a stream, or the head of another answer; maybe its load."""
         if attempt.first_event_at is not None or attempt.ended:
             return
         attempt.first_event_at = now
@@ -177,12 +192,22 @@
             return
         record.heard_at = now
         record.health.succeeded(now)
-        self._read(record, attempt, now - attempt.started_at, now)
-
-    def _read(self, record: BackendRecord, attempt: Attempt, took_s: float, now: float) -> None:
+        self._read(record, attempt, now - attempt.started_at, now, load)
+
+    def _read(
+        self,
+        record: BackendRecord,
+        attempt: Attempt,
+        took_s: float,
+        now: float,
+        load: ReportedLoad | None = None,
+    ) -> None:
         state = self._service(attempt.call.service)
         excess = max(0.0, took_s - attempt.expected_s)
-        record.reading(excess / max(state.latency.base_s, 0.001), now)
+        queue = excess / max(state.latency.base_s, 0.001)
+        if load is not None:
+            queue = max(queue, record.others_queue(load, state.profile.engine_capacity > 0))
+        record.reading(queue, now)
         state.latency.learn(attempt.uncached_tokens, took_s)
         if self.placement.region_of(record) == self.region:
             late = took_s > attempt.call.latency_target_s
@@ -226,6 +251,7 @@
             record.health.eject(now, self.tuning.most_ejection_s)
             return
         self.reports.add(record.backend.id, now)
+        self.trouble.note([record.backend.zone], now)
         if outcome is AttemptOutcome.UNREACHABLE or record.unanswered(attempt, now):
             record.health.lost(now)
             self.lost.add(record)
@@ -238,6 +264,7 @@
             record = self.records.get(backend_id)
             if record is not None:
                 record.health.reported(now)
+                self.trouble.note([record.backend.zone], now)
 
     def report_silent(self, now: float) -> None:
         """Report the backends that leave an own attempt without an answer; called at intervals."""
@@ -254,12 +281,21 @@
         )
         return max(tuning.least_check_s, due)
 
+    def most_rest_s(self, backend_id: str, now: float) -> float:
+        """How long a connection may have rested that a request is sent on which must not run twice."""
+        record = self.records.get(backend_id)
+        if record is None or record.backend.zone in self.doubted:
+            return self.tuning.troubled_rest_s
+        troubled = self.trouble.recent(record.backend.zone, now)
+        return self.tuning.troubled_rest_s if troubled else self.tuning.calm_rest_s
+
     def not_there(self, backend_id: str, now: float) -> None:
         """No new connection to a backend that is silent comes up."""
         record = self.records.get(backend_id)
         if record is not None:
             record.health.lost(now)
             self.lost.add(record)
+            self.trouble.note([record.backend.zone], now)
             self.reports.add(backend_id, now)
 
     def unreachable(self, now: float) -> list[str]:
--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -16,6 +16,7 @@
 from nettledeal.common.logs import log_event
 from nettledeal.common.settings import Settings
 from nettledeal.membership.cbor_codec import CborCodec
+from nettledeal.membership.doubt import zones_in_doubt
 from nettledeal.membership.host import Host
 from nettledeal.membership.member import Member
 from nettledeal.membership.steps import SECOND, Act, Changed, Timing
@@ -25,6 +26,8 @@
 CLUSTER = "nd"
 # A lost member goes on counting toward shared budgets for so long: it may only be cut off from here.
 LOST_COUNTS_S = 60.0
+# A member found dead goes on speaking against its zone for so long, unless it comes back.
+DEATH_TELLS_S = 8.0
 # Streams open at once, in each direction: many processes may join through one seed at the same time.
 MAX_STREAMS = 64
 # The protocol's period is this part of the deployment's heartbeat.
@@ -54,7 +57,7 @@
     Role.RELAY: InternalPort.CORE_MEMBERSHIP,
 }
 # Members that answer clients asking where to go: what changes is told to them at once.
-_TOLD_AT_ONCE = frozenset({Role.CORE, Role.RELAY})
+DIRECTORY_ROLES = frozenset({Role.CORE, Role.RELAY})
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +184,22 @@
         """The hosts of live processes that have a replica of the control state."""
         return [member.host for member in self.members() if member.role == Role.CORE]
 
+    def zones_in_doubt(self) -> frozenset[str]:
+        """Zones that may be lost as a whole, by the members that are suspected or were found dead of late."""
+        members = self.members()
+        since = self._clock.now() - round(DEATH_TELLS_S * SECOND)
+        lost = [member.zone for member in members if member.suspected]
+        lost += [word.metadata.zone for word in self._dead_since(since)]
+        return zones_in_doubt((member.zone for member in members if not member.suspected), lost)
+
+    def _dead_since(self, since: int) -> list[Word]:
+        view = self.member.view
+        return [
+            word
+            for word in view.words.values()
+            if word.state == State.DEAD and word.metadata is not None and view.since[word.name] > since
+        ]
+
     def is_member(self, name: str) -> bool:
         """Whether a process of that name lives, as far as is known."""
         return any(member.name == name for member in self.members())
@@ -188,14 +207,8 @@
     def data_plane_count(self) -> int:
         """Data-plane members for shares of a shared budget: the live ones, and those lost of late."""
         live = sum(member.role == Role.EDGE for member in self.members())
-        view, since = self.member.view, self._clock.now() - round(LOST_COUNTS_S * SECOND)
-        lost = sum(
-            word.state == State.DEAD
-            and word.metadata is not None
-            and word.metadata.role == Role.EDGE
-            and view.since[word.name] > since
-            for word in view.words.values()
-        )
+        since = self._clock.now() - round(LOST_COUNTS_S * SECOND)
+        lost = sum(word.metadata.role == Role.EDGE for word in self._dead_since(since))
         return max(1 if self.member.joined else ASSUMED_BEFORE_JOINING, live + lost)
 
     def _join_when_ready(self) -> None:
@@ -233,7 +246,7 @@
 
 
 def _is_told_at_once(word: Word) -> bool:
-    return word.metadata is not None and word.metadata.role in _TOLD_AT_ONCE
+    return word.metadata is not None and word.metadata.role in DIRECTORY_ROLES
 
 
 def _member_info(word: Word, regions: dict[str, str]) -> MemberInfo:
--- a/src/nettledeal/registry/answers.py
+++ b/src/nettledeal/registry/answers.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from heapq import nlargest
 
@@ -11,6 +10,7 @@
 import xxhash
 
 from nettledeal.membership.node import MemberInfo, Role
+from nettledeal.registry.directories import Directories
 
 MAX_ADDRESSES = 64
 # A zone with fewer live members than this part of the mean of its region's zones gets the region's as well.
@@ -19,9 +19,9 @@
 MIN_MEMBERS = 2
 # An answer that is soon to be replaced by a better one is kept by clients for no longer than this.
 SHORT_TTL_S = 0.5
-# A zone is in doubt when so large a part of its members is suspected: what takes them may have taken others
-# that are not found out yet. A zone with fewer members than this is soon gone through.
-DOUBTED_SHARE, DOUBTED_ZONE = 0.5, 6
+# An answer to clients whose region has lost its directories is kept for this long: each of their look-ups
+# first waits for those that are gone.
+FAR_TTL_S = 3.0
 # Where there are more members than fit, clients are told different ones, by as many groups of clients.
 CLIENT_GROUPS = 128
 # Places come from clients; answers for no more of them than this are kept.
@@ -41,11 +41,10 @@
         return self.homes is None or member.region == self.region or member.region in self.homes
 
 
-def serving(members: Iterable[MemberInfo]) -> list[MemberInfo]:
-    """Members that take clients. Suspected ones, and those of zones in doubt, only if there are no others."""
+def serving(members: Iterable[MemberInfo], doubted: Collection[str] = ()) -> list[MemberInfo]:
+    """Members that take clients. Suspected ones, and those of doubted zones, only if there are no others."""
     ready = [member for member in members if _is_edge(member) and member.ready and not member.leaving]
     sound = [member for member in ready if not member.suspected]
-    doubted = zones_in_doubt(ready)
     return [member for member in sound if member.zone not in doubted] or sound or ready
 
 
@@ -58,17 +57,6 @@
     return member.role == Role.EDGE and bool(member.frontend)
 
 
-def zones_in_doubt(members: Sequence[MemberInfo]) -> set[str]:
-    """Zones of several members of which many are suspected."""
-    known = Counter(member.zone for member in members)
-    suspected = Counter(member.zone for member in members if member.suspected)
-    return {
-        zone
-        for zone, count in suspected.items()
-        if known[zone] >= DOUBTED_ZONE and count >= DOUBTED_SHARE * known[zone]
-    }
-
-
 @dataclass(frozen=True, slots=True)
 class Choice:
     """The members to be told; `lasting` unless others should be asked for again soon."""
@@ -77,26 +65,28 @@
     lasting: bool = True
 
 
-def choose(members: Iterable[MemberInfo], place: Place) -> Choice:
+def choose(members: Iterable[MemberInfo], place: Place, doubted: Collection[str] = ()) -> Choice:
     """The members for a client's place.
 
-    Homes of routes are left only where no member inside them is known: while all of these restart, those that
-    are leaving go on being told, for a short time each.
+    `doubted` has the zones that may be lost. Homes of routes are left only where no member inside them is
+    known: while all of these restart, those that are leaving go on being told, for a short time each.
     """
     members = list(members)
     admitted = [member for member in members if place.admits(member)]
-    found = nearest(admitted, place)
+    found = nearest(admitted, place, doubted)
     if found:
         return Choice(found)
     last = leaving(admitted)
     if last:
         return Choice(last, lasting=False)
-    return Choice(nearest(members, place), lasting=place.homes is None)
+    return Choice(nearest(members, place, doubted), lasting=place.homes is None)
 
 
-def nearest(members: Iterable[MemberInfo], place: Place) -> list[MemberInfo]:
+def nearest(
+    members: Iterable[MemberInfo], place: Place, doubted: Collection[str] = ()
+) -> list[MemberInfo]:
     """The members of a client's zone, or of its region or of all where they are few."""
-    everyone = serving(members)
+    everyone = serving(members, doubted)
     local = [member for member in everyone if member.zone == place.zone]
     regional = [member for member in everyone if member.region == place.region]
     zones = len({member.zone for member in regional})
@@ -122,9 +112,13 @@
 class Answers:
     """Encoded answers by place, kept until the view or the homes of routes change."""
 
-    def __init__(self, ttl_s: float):
+    def __init__(self, ttl_s: float, far_ttl_s: float = 0.0, directories: Directories | None = None):
+        """`far_ttl_s`: how long answers are kept by clients whose region has lost its directories."""
         self._ttl_s = ttl_s
+        self._far_ttl_s = max(ttl_s, far_ttl_s)
+        self._directories = directories or Directories()
         self._encoded: dict[tuple[Place, int], bytes | None] = {}
+        self.doubted: Collection[str] = ()  # zones that may be lost as a whole
 
     def clear(self) -> None:
         """The view or the configuration has changed."""
@@ -135,17 +129,21 @@
         key = (place, client_group(client_host))
         if key in self._encoded:
             return self._encoded[key]
-        choice = choose(members, place)
-        encoded = self._encode(choice, key[1])
+        choice = choose(members, place, self.doubted)
+        encoded = self._encode(choice, place, key[1])
         if choice.lasting:
             if len(self._encoded) >= MAX_CACHED_ANSWERS:
                 self._encoded.clear()
             self._encoded[key] = encoded
         return encoded
 
-    def _encode(self, choice: Choice, group: int) -> bytes | None:
+    def _encode(self, choice: Choice, place: Place, group: int) -> bytes | None:
         if not choice.members:
             return None
         addresses = [member.frontend for member in share_of_group(choice.members, group)]
-        ttl_s = self._ttl_s if choice.lasting else min(SHORT_TTL_S, self._ttl_s)
-        return orjson.dumps({"addresses": addresses, "ttl_s": ttl_s})
+        return orjson.dumps({"addresses": addresses, "ttl_s": self._lifetime_s(choice, place)})
+
+    def _lifetime_s(self, choice: Choice, place: Place) -> float:
+        if not choice.lasting:
+            return min(SHORT_TTL_S, self._ttl_s)
+        return self._far_ttl_s if self._directories.lost(place.region) else self._ttl_s
--- a/src/nettledeal/registry/server.py
+++ b/src/nettledeal/registry/server.py
@@ -10,7 +10,8 @@
 from nettledeal.common.http_server import HttpServer
 from nettledeal.common.settings import Settings
 from nettledeal.membership.node import MembershipNode
-from nettledeal.registry.answers import Answers, Place
+from nettledeal.registry.answers import FAR_TTL_S, Answers, Place
+from nettledeal.registry.directories import Directories
 from nettledeal.registry.homes import RouteHomes
 from nettledeal.registry.leaving import LeavingMembers
 
@@ -26,8 +27,11 @@
         self._membership = membership
         self._regions = settings.zones
         self._homes = RouteHomes()
-        self._answers = Answers(settings.bounds.resolve_ttl_s)
-        self._leaving = LeavingMembers(settings.bounds.resolve_hold_s)
+        bounds = settings.bounds
+        self._directories = Directories()
+        far_ttl_s = min(FAR_TTL_S, bounds.ttl_max_s)
+        self._answers = Answers(bounds.resolve_ttl_s, far_ttl_s, self._directories)
+        self._leaving = LeavingMembers(bounds.resolve_hold_s)
         membership.on_change.append(self._view_changed)
         super().__init__(parse_address(settings.listen.directory), self.application)
 
@@ -37,7 +41,10 @@
             self._answers.clear()
 
     def _view_changed(self) -> None:
-        self._leaving.note(self._membership.members(), time.monotonic())
+        members = self._membership.members()
+        self._leaving.note(members, time.monotonic())
+        self._directories.note(members)
+        self._answers.doubted = self._membership.zones_in_doubt()
         self._answers.clear()
 
     def application(self, environ: dict, start_response) -> Iterable[bytes]:
