--- a/src/nettledeal/standins/small_system.py
+++ b/src/nettledeal/standins/small_system.py
@@ -111,6 +111,6 @@
         return self._process(settings.node_name, Machines.EDGE, settings)
 
     def _process(self, name: str, role: Machines, settings: Settings) -> SystemProcess:
-        path = self.folder / f"{name}.toml"
+        path = self.folder / f"{name}.{role}.toml"  # a machine may have both
         write_settings(settings, path)
         return SystemProcess(name, str(role), path)
