Data planes that are not ready join membership after 0.3 s: seeds may be relays

Test: a data plane whose only seed is a relay. A fixture waits until processes have started before it ends them: beside load one got SIGTERM before it had handlers (-15); each must still end with 0.

--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -34,8 +34,9 @@
 PERIODS_PER_HEARTBEAT = 3
 # How often news is told, in times of the logarithm of the number of members.
 NEWS_TOLD = 3
-# So long after its start a data-plane process joins although it is not ready.
-JOIN_UNREADY_AFTER_S = 1.5
+# So long after its start a data-plane process joins although it is not ready: where no seed has a replica, it
+# finds the core machines by membership only.
+JOIN_UNREADY_AFTER_S = 0.3
 # What a member says of itself is repeated to the core members after so many seconds.
 REPEAT_AFTER_S = (0.1, 0.4)
 # As many data-plane members a process assumes before it has joined: its share is small until it knows.
--- a/src/nettledeal/standins/small_system.py
+++ b/src/nettledeal/standins/small_system.py
@@ -57,6 +57,12 @@
         for edge in self.edges:
             edge.wait_for("dataplane:ready", within_s, lambda event: event["ready"] is True)
 
+    def wait_started(self, within_s: float = PATIENCE_S) -> None:
+        """Wait until every process that runs has begun to serve: before that, SIGTERM ends it as it comes."""
+        for process in self.processes:
+            if process.running:
+                process.wait_for("process:started", within_s)
+
     def primary(self) -> SystemProcess:
         """The core process that leads: the one that answers for the configuration in force."""
         address = self.operator.get_configuration().peer
--- a/tests/system/test_control_on_edges.py
+++ b/tests/system/test_control_on_edges.py
@@ -88,7 +88,17 @@
     def in_sync(self) -> int:
         return len(self.system.primary_status().epoch.in_sync)
 
+    def restart_edge_with_relay_as_seed(self, number: int) -> SystemProcess:
+        edge = self.system.edges[number]
+        edge.kill()
+        settings = self.system.layout.edge_settings(number)
+        relay = f"{self.relay_host}:{int(Port.CONTROL_PLANE)}"
+        write_settings(msgspec.structs.replace(settings, seeds=[relay]), edge.settings_path)
+        edge.start()
+        return edge
+
     def stop(self) -> list[int | None]:
+        self.system.wait_started(WITHIN_S)
         self.relay.terminate()
         return [*self.system.stop(), self.relay.wait(WITHIN_S)]
 
@@ -120,6 +130,12 @@
     assert msgspec.json.decode(running.through_relay.get_configuration().body)["generation"] == 2
 
 
+def test_a_data_plane_whose_seeds_have_no_replica_finds_the_core_machines(running):
+    edge = running.restart_edge_with_relay_as_seed(1)
+    edge.wait_for("dataplane:ready", WITHIN_S, lambda event: event["ready"] is True)
+    running.wait_served()
+
+
 def test_a_machine_with_both_roles_is_lost_and_comes_back(running):
     system = running.system
     primary = system.primary()
--- a/tests/system/test_whole_system.py
+++ b/tests/system/test_whole_system.py
@@ -76,6 +76,8 @@
         return running
 
     yield bring_up
+    for running in started:
+        running.system.wait_started(WITHIN_S)
     statuses = [status for running in started for status in running.system.stop()]
     assert set(statuses) <= {0}
 
