--- a/src/nettledeal/fleet/measures.py
+++ b/src/nettledeal/fleet/measures.py
@@ -165,4 +165,5 @@
         "asked": asked, "on_time": on_time * part, "deferred": deferred * part, "failed": failed * part,
         "unanswered": silent * part, "unreached": unreached * part, "p50_ms": percentile(took, 0.5),
         "p99_ms": percentile(took, 0.99), "client_late_p99_ms": percentile(late, 0.99) / 10,
+        "client_late_most_ms": max(late, default=0) / 10,
     }
