--- a/src/nettledeal/programs/main.py
+++ b/src/nettledeal/programs/main.py
@@ -42,7 +42,6 @@
         "check-data": Subcommand("check_data", "check a data directory; repairs nothing"),
         "check-settings": Subcommand("check_settings", "check a settings file"),
         "check-deploy": Subcommand("check_deploy", "check a deploy file"),
-        "capacity": Subcommand("capacity", "measure what each role costs as a deployment grows"),
     }
 )
 
--- a/src/nettledeal/capacity/deployment.py
+++ b/tests/system/drawn_deployment.py
@@ -104,7 +104,7 @@
     places = zones()
     return Settings(
         node_name=node_name,
-        role="capacity",
+        role="data-plane",
         machine_class="core",
         serves=[],
         ip=address.host,
--- a/tests/system/test_dataplane_changes.py
+++ b/tests/system/test_dataplane_changes.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from nettledeal.capacity import deployment
 from nettledeal.common.addresses import Address
 from nettledeal.dataplane.agent import DataPlane
 from nettledeal.discovery.catalogue import Backend, BackendState, encode_backend
 
+from . import drawn_deployment
 from .dataplane_rig import entries
 
 ZONES = ["zone-00", "zone-01", "zone-02"]
@@ -18,7 +18,7 @@
 
 
 def plane() -> DataPlane:
-    made = DataPlane(deployment.settings("agent", Address("127.0.0.1", 7000), [], "zone-00"), Random(1))
+    made = DataPlane(drawn_deployment.settings("agent", Address("127.0.0.1", 7000), [], "zone-00"), Random(1))
     made.apply_control((1,), entries())
     return made
 
