--- a/src/nettledeal/standins/processes.py
+++ b/src/nettledeal/standins/processes.py
@@ -96,6 +96,14 @@
         """Ask it to end; returns at once."""
         self._signal(signal.SIGTERM)
 
+    def freeze(self) -> None:
+        """Have it stand still; its sockets stay."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on after `freeze`."""
+        self._signal(signal.SIGCONT)
+
     def wait(self, within_s: float) -> int | None:
         """Its exit status; after `within_s` it is killed and the answer is None."""
         try:
--- a/tests/system/order_processes.py
+++ b/tests/system/order_processes.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import shutil
-import signal
 import sys
 import time
 from collections.abc import Sequence
@@ -209,9 +208,9 @@
         process.start()
 
     def freeze(self, process: SystemProcess) -> None:
-        process._signal(signal.SIGSTOP)
+        process.freeze()
         gevent.sleep(self.random.random() * 5)
-        process._signal(signal.SIGCONT)
+        process.thaw()
 
     def restart(self, process: SystemProcess) -> None:
         process.terminate()
--- a/tests/system/test_control_on_edges.py
+++ b/tests/system/test_control_on_edges.py
@@ -156,6 +156,25 @@
     assert broken_rules([], running.clients, system.backends, [BRIEF, CARD, EXTRA]) == []
 
 
+def test_a_machine_with_both_roles_stands_still_and_goes_on(running):
+    system = running.system
+    primary = system.primary()
+    edge = system.edges[system.cores.index(primary)]
+    for process in (primary, edge):
+        process.freeze()
+    try:
+        changed = make_configuration(2, with_extra_route=True)
+        assert running.through_relay.put_configuration(changed, 1).status == 200
+        assert running.through_relay.get_configuration().body == changed
+    finally:
+        for process in (primary, edge):
+            process.thaw()
+    # What it took itself for meanwhile counts no more: it follows, and its data plane has the new route.
+    wait_until(lambda: running.in_sync() == 3, WITHIN_S, "all replicas are in sync")
+    wait_until(lambda: running.endings(EXTRA) == {Ending.SERVED}, WITHIN_S, "the new route is served")
+    assert running.through_relay.get_configuration().body == changed
+
+
 def test_a_machine_that_loses_its_disk_is_filled_again(running):
     system = running.system
     lost = next(core for core in system.cores if core is not system.primary())
