Experiments: one table of mechanisms that trials can switch off in a scratch copy

experiments/ablation.py, 17 mechanisms of the selection and of forwarding; what guards a rule is not among them.

--- /dev/null
+++ b/experiments/ablation.py
@@ -0,0 +1,146 @@
+"""Copies of the serving system with one mechanism switched off, for trials: what is each worth?
+
+    python3 experiments/ablation.py list
+    python3 experiments/ablation.py NAME FOLDER
+
+changes the sources in FOLDER, a scratch copy of the repository, which is then played beside an unchanged
+one, on the same days. A mechanism is switched off by other text for a line of its; `tests/test_ablation.py`
+holds that the line is still there. What guards a rule (the bound for cold backends, budgets, drains) is not
+among them.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+SELECTION = "dataplane/selection"
+PACKAGE = Path("src") / "nettledeal"
+
+
+@dataclass(frozen=True, slots=True)
+class Switch:
+    """What stands for a mechanism in a file of the package, and what stands there with it off."""
+
+    file: str
+    on: str
+    off: str
+
+
+def _tuning(name: str, on: str, off: str) -> Switch:
+    return Switch(f"{SELECTION}/model.py", f"    {name}: float = {on}\n", f"    {name}: float = {off}\n")
+
+
+SWITCHES = {
+    "home first": (
+        Switch(
+            f"{SELECTION}/placement.py",
+            "        if not home or call.home_regions:\n",
+            "        if True:\n            return usable\n        if not home or call.home_regions:\n",
+        ),
+    ),
+    "threshold learned": (
+        Switch(f"{SELECTION}/threshold.py", "FALL = 0.90\n", "FALL = 1.0\n"),
+        Switch(f"{SELECTION}/threshold.py", "RISE = 1.005\n", "RISE = 1.0\n"),
+    ),
+    "own sends added": (
+        Switch(
+            f"{SELECTION}/service_state.py",
+            "return record.remembered_queue(now) + record.own_queue(self.profile.engine_capacity > 0)",
+            "return record.remembered_queue(now)",
+        ),
+    ),
+    "sharpness": (_tuning("sharpness", "4.0", "1.0"),),
+    "reading part": (_tuning("reading_share", "2 / 3", "1.0"),),
+    "affinity": (
+        Switch(
+            f"{SELECTION}/model.py",
+            "    affinity_least_tokens: int = 256\n",
+            "    affinity_least_tokens: int = 1 << 40\n",
+        ),
+    ),
+    "distrust in the draw": (_tuning("distrust_power", "6.0", "0.0"),),
+    "ejection": (
+        Switch(
+            f"{SELECTION}/attempt_memory.py",
+            "elif record.health.failed(now) and self._may_eject(record, now):",
+            "elif record.health.failed(now) and False:",
+        ),
+    ),
+    "failures told": (_tuning("reported_failure", "1.0", "0.0"),),
+    "silence checks": (
+        Switch(
+            "dataplane/silence.py",
+            "        self._wait(self.selector.silence_s(self.attempt))\n",
+            "        self._wait(None)\n",
+        ),
+        Switch(
+            "dataplane/silence.py",
+            "        self._wait(STREAM_SILENCE_S if resumable else None)\n",
+            "        self._wait(None)\n",
+        ),
+    ),
+    "long rests": (_tuning("calm_rest_s", "6.0", "0.5"),),
+    "connected first": (_tuning("connecting_queue", "1.5", "0.0"),),
+    "loads told by backends": (
+        Switch(
+            "dataplane/forwarding.py",
+            "read_server_load(answer.header(LOAD_HEADER)))",
+            "None)",
+        ),
+    ),
+    "pauses in streams": (
+        Switch(
+            "dataplane/forwarding.py",
+            "            if answer.is_event_stream:\n",
+            "            if False:\n",
+        ),
+    ),
+    "queues told": (_tuning("crowded_queue", "3.0", "1e9"),),
+    "replaced backends": (
+        Switch(f"{SELECTION}/replaced.py", "LEAST_REPLACED = 2\n", "LEAST_REPLACED = 1 << 40\n"),
+        Switch(
+            f"{SELECTION}/attempt_memory.py",
+            "            self.reports.add_replaced(record.backend.id)\n",
+            "",
+        ),
+    ),
+    "zones in doubt": (
+        Switch(
+            f"{SELECTION}/knowledge.py",
+            "self.doubted = frozenset(zones) - {self.placement.zone}",
+            "self.doubted = frozenset()",
+        ),
+    ),
+}
+
+
+def switch_off(name: str, repository: Path) -> None:
+    """Change the sources below `repository`. Raises ValueError where they are others than expected."""
+    for switch in SWITCHES[name]:
+        path = repository / PACKAGE / switch.file
+        text = path.read_text()
+        if text.count(switch.on) != 1:
+            raise ValueError(f"{switch.file}: not once there: {switch.on.strip()}")
+        path.write_text(text.replace(switch.on, switch.off))
+
+
+def main() -> int:
+    """Returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("name", choices=["list", *SWITCHES])
+    parser.add_argument("folder", nargs="?", type=Path)
+    parsed = parser.parse_args()
+    if parsed.name == "list":
+        print("\n".join(SWITCHES))
+        return 0
+    if parsed.folder is None:
+        parser.error("which copy?")
+    switch_off(parsed.name, parsed.folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
