Data planes that start tell clients a time at which they are surely ready

Clients that come to a process without a configuration are told to come back 1.6 s after its start, and many come back once only; there service was back 1.5 to 1.9 s after the processes' start (ready at 40.82, 40.95, 41.27 s). A delay of 0.3 s (second epoch at 40.75 for 40.60) took 130 more requests. Change: between 2.0 and 3.2 s after the start, drawn. A client that has less time left comes back sooner of itself (the protocol: up to a third of what is left), and one that comes back after its aim is late by any wait.

--- a/src/nettledeal/dataplane/ingress.py
+++ b/src/nettledeal/dataplane/ingress.py
@@ -32,8 +32,10 @@
 # After an answer to what was not read whole, for the client to see it before the connection is reset.
 LINGER_S = 0.5
 MEMORY_RETRY_S = 0.25
-# From the start of this process to its first configuration and catalogue where the core machines start too.
-EXPECTED_START_S = 1.6
+# From the start of this process to its first configuration and catalogue where the core machines start too:
+# expected by the first, sure by the second time. Clients come back between them, not all at once.
+EXPECTED_START_S = 2.0
+SURE_START_S = 3.2
 LEAST_STARTING_RETRY_S = 0.8
 ACCEPT_PAUSE_S = 0.05
 _READABLE = 1
@@ -276,9 +278,13 @@
             return None
 
     def _refuse_until_ready(self, request: ClientRequest) -> None:
-        """Many clients come back only once, so they are told a time at which this process should be ready."""
+        """Many clients come back only once, so they are told a time at which this process is surely ready.
+
+        A client that has less time left comes back sooner of itself.
+        """
         uptime_s = time.monotonic() - self.ingress.started_at
-        retry_after_s = max(LEAST_STARTING_RETRY_S, EXPECTED_START_S - uptime_s)
+        ready_after_s = self.ingress.forwarding.random.uniform(EXPECTED_START_S, SURE_START_S)
+        retry_after_s = max(LEAST_STARTING_RETRY_S, ready_after_s - uptime_s)
         status = HTTPStatus.SERVICE_UNAVAILABLE
         self.send([own_answer(status, request.request_id, retry_after_s, self.closing)])
 
--- a/tests/system/test_dataplane_ingress.py
+++ b/tests/system/test_dataplane_ingress.py
@@ -5,7 +5,12 @@
 from gevent import socket
 from gevent.event import Event
 
-from nettledeal.dataplane.ingress import LEAST_STARTING_RETRY_S, RequestLimits
+from nettledeal.dataplane.ingress import (
+    EXPECTED_START_S,
+    LEAST_STARTING_RETRY_S,
+    SURE_START_S,
+    RequestLimits,
+)
 from nettledeal.dataplane.routing_table import RoutingTable
 from system.dataplane_rig import LIMITS, StandIn, answer_bytes, chunk_of, entries, event, running, stream_head
 
@@ -38,6 +43,26 @@
         assert rig.client().ask("/elsewhere/x")[0] == 404
 
 
+@pytest.mark.parametrize(
+    ("uptime_s", "least_s", "most_s"),
+    [
+        (0.0, EXPECTED_START_S - 1.0, SURE_START_S),  # the rig itself takes a moment
+        (EXPECTED_START_S, LEAST_STARTING_RETRY_S, SURE_START_S - EXPECTED_START_S),
+        (60.0, LEAST_STARTING_RETRY_S, LEAST_STARTING_RETRY_S),
+    ],
+)
+def test_clients_of_a_starting_process_come_back_when_it_is_surely_ready_not_all_at_once(
+    uptime_s, least_s, most_s
+):
+    with running(StandIn("i-1")) as rig:
+        rig.plane.ingress.has_catalogue = False
+        rig.plane.ingress.started_at -= uptime_s
+        client = rig.client()
+        told = [float(client.ask()[1]["retry-after"]) for _ in range(20)]
+    assert least_s <= min(told) <= max(told) <= most_s
+    assert (len(set(told)) > 1) is (least_s < most_s)
+
+
 def test_a_head_that_does_not_come_whole_in_time_is_answered_so():
     brief = LIMITS | {"header_timeout_ms": 30}
     with running(StandIn("i-1"), control=entries(limits=brief)) as rig:
