Tests: the primary is waited for until it has heard of all seven members

Data planes join membership once they are ready, and the test read the page once, straight after the first requests were served. Ruled out: two processes under one name (the names were different ones, the test checks it). The test waits for all seven, within its usual bound, and then checks the same.

--- a/tests/system/test_control_on_edges.py
+++ b/tests/system/test_control_on_edges.py
@@ -11,6 +11,7 @@
 from nettledeal.common.http_client import HttpClient
 from nettledeal.common.settings import Bounds, Settings
 from nettledeal.operator_api.client import OperatorClient
+from nettledeal.operator_api.status import MemberStatus
 from nettledeal.standins.backend import EngineSpeed
 from nettledeal.standins.checks import broken_rules
 from nettledeal.standins.clients import Ending
@@ -88,6 +89,9 @@
     def in_sync(self) -> int:
         return len(self.system.primary_status().epoch.in_sync)
 
+    def members(self) -> list[MemberStatus]:
+        return self.system.primary_status().members
+
     def restart_edge_with_relay_as_seed(self, number: int) -> SystemProcess:
         edge = self.system.edges[number]
         edge.kill()
@@ -119,7 +123,8 @@
     frontends = {str(address) for address in running.system.frontends()}
     assert set(running.told_by_relay()) <= frontends
     # Of one machine both processes are members, by names of their own.
-    members = running.system.primary_status().members
+    wait_until(lambda: len(running.members()) == 7, WITHIN_S, "the primary has heard of all members")
+    members = running.members()
     assert len({member.name for member in members}) == len(members) == 7
     assert sorted(member.role for member in members) == ["core"] * 3 + ["edge"] * 3 + ["relay"]
 
