Rig: an agent's own wait for a processor, as the kernel counts it, is no lateness of its answer

The play could not tell an agent that was late by its own doing from one that had no processor. Each agent's run-queue wait (schedstat) is sampled every 20 ms; the checker takes it off an answer's delay, only as far as it fell between 50 ms before the expiry and the answer. The bound stays at 50 ms. Tests: late on an idle machine, without a counter, with a shorter wait and with one long before: still found.

--- a/src/nettledeal/fleet/checker.py
+++ b/src/nettledeal/fleet/checker.py
@@ -2,7 +2,7 @@
 
 Each finding is one line with the work item or backend that it is about. What a process wrote down a moment
 late is no break: every limit of time is `SLACK` longer, and so is the time in which an agent was stopped by
-the rig.
+the rig. An answer is late by what is left of its delay without the agent's own wait for a processor.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from itertools import chain
 
 from nettledeal.fleet.experiment import Experiment
+from nettledeal.fleet.processor_waits import ProcessorWaits
 from nettledeal.model import Time
 
 SLACK = 500  # tenths of a millisecond, as the platform's rules have it
@@ -68,9 +69,10 @@
 
 def check(
     experiment: Experiment, records: dict[str, list], harm: Sequence[Sequence], grace: Time,
-    slack: Time = SLACK,
+    slack: Time = SLACK, waits: ProcessorWaits | None = None,
 ) -> dict[str, list[str]]:
     """Findings by rule; `grace` on drains in tenths of a millisecond, `harm` as (agent, from, until)."""
+    waits = waits or ProcessorWaits()
     found: dict[str, list[str]] = {rule: [] for rule in RULES}
     seen = trails(records["backends"])
     told = _told(records["roster"])
@@ -84,7 +86,8 @@
             since <= expiry + slack and (until is None or until >= sent) for since, until in harmed[agent]
         )
         if not hurt:
-            found[RULES[0]] += _answers(id, status, answered, expiry, trail, slack)
+            waited = waits.between(agent, expiry - slack, answered) if answered > expiry + slack else 0
+            found[RULES[0]] += _answers(id, status, answered, expiry, trail, slack, waited)
         # What an agent did before it was killed its client could not know: only what ran counts then.
         found[RULES[1]] += _effects(id, category.effect, status, trail, slack, hurt)
         for at, name in trail.arrivals():
@@ -96,13 +99,16 @@
     return found
 
 
-def _answers(id: str, status: int, answered: Time, expiry: Time, trail: Trail, slack: Time) -> list[str]:
+def _answers(
+    id: str, status: int, answered: Time, expiry: Time, trail: Trail, slack: Time, waited: Time
+) -> list[str]:
     if status < 0:
         return []  # never taken
     if status == 0:
         return [f"{id} got no answer"]
-    if answered > expiry + slack:
-        return [f"{id} was answered {(answered - expiry) / 10:.0f} ms after its expiry"]
+    if answered > expiry + slack + waited:
+        late = f"{(answered - expiry) / 10:.0f} ms after its expiry"
+        return [f"{id} was answered {late}, its agent waited {waited / 10:.0f} ms for a processor"]
     late = [name for at, name in trail.arrivals() if at > answered + slack]
     return [f"{id} was sent to {late[0]} after its answer"] if late else []
 
--- a/src/nettledeal/fleet/rig.py
+++ b/src/nettledeal/fleet/rig.py
@@ -19,6 +19,7 @@
 from nettledeal.fleet.experiment import SECOND, Experiment
 from nettledeal.fleet.faults import Faults
 from nettledeal.fleet.processes import Broken, Helper
+from nettledeal.fleet.processor_waits import SAMPLED_EVERY_S, SAMPLED_EVERY_S_EACH, ProcessorWaits
 from nettledeal.fleet.script import script
 from nettledeal.fleet.site import Site
 from nettledeal.fleet.traffic import Ask
@@ -39,6 +40,7 @@
         self.told = Configurations(experiment, acts, self.site, policy, folder)
         self.agents = Agents(experiment, self.told, self.site, tree, folder)
         self.faults = Faults(acts, self.told, self.agents, self.helpers, policy)
+        self.waits = ProcessorWaits()
         self.trouble: str | None = None
         self.start_at: Time = 0
         self.jobs: list[gevent.Greenlet] = []
@@ -99,7 +101,7 @@
         clients = [helper for role, helper in self.helpers.items() if role.startswith("clients")]
         for helper in clients:
             helper.tell({"do": "start", "at": self.start_at})
-        self.jobs += [gevent.spawn(self._watch), gevent.spawn(self._harm)]
+        self.jobs += [gevent.spawn(self._watch), gevent.spawn(self._harm), gevent.spawn(self._sample_waits)]
         longest = max(c.expiry_ms for c in self.experiment.category) / 1000
         whole = self.experiment.seconds + longest + 5.0
         while not all(helper.through.is_set() for helper in clients):
@@ -123,9 +125,20 @@
                     self.trouble = f"{helper.role} ended with {helper.process.returncode}{helper.why()}"
             gevent.sleep(0.2)
 
+    def _sample_waits(self) -> None:
+        pause_s = max(SAMPLED_EVERY_S, SAMPLED_EVERY_S_EACH * self.experiment.agents.count)
+        while True:
+            self._sample_waits_once()
+            gevent.sleep(pause_s)
+
+    def _sample_waits_once(self) -> None:
+        for agent, process in list(self.agents.processes.items()):
+            self.waits.sample(agent, process.pid, now())
+
     def _collect(self) -> dict[str, list]:
         self.progress("collecting", 1.0)
         gevent.killall(self._jobs())
+        self._sample_waits_once()
         found: dict[str, list] = {"backends": [], "roster": [], "clients": []}
         for role, helper in self.helpers.items():
             name = role.partition("-")[0]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from nettledeal.configuration_files import ConfigError
 from nettledeal.fleet import checker, experiment, measures, results
 from nettledeal.fleet.links import Condition, Way
+from nettledeal.fleet.processor_waits import ProcessorWaits
 from nettledeal.fleet.script import script, spread
 from nettledeal.fleet.server import FULL, HELD, Server
 from nettledeal.fleet.traffic import asks
@@ -217,6 +218,40 @@
     assert checker.check(found, records, [(3, 100, 900)], 4000)[checker.RULES[0]]
 
 
+@pytest.mark.parametrize(
+    ("counters", "late_ms", "broken"),
+    [
+        ([(0, 0), (30_000, 0)], 69, True),  # a planted late answer on an idle machine
+        ([], 69, True),  # the kernel told nothing
+        ([(0, 0), (21_000, 0), (21_300, 25), (30_000, 25)], 69, False),
+        ([(0, 0), (21_000, 0), (21_300, 15), (30_000, 15)], 69, True),  # waited less than it was late
+        ([(0, 0), (15_000, 900), (30_000, 900)], 69, True),  # waited long before
+        ([(0, 0), (30_000, 900)], 3000, True),  # as the broken build of the rig's test, on a busy machine
+    ],
+)
+def test_an_answer_is_late_by_what_its_agent_did_not_wait_for_a_processor(
+    tmp_path, counters, late_ms, broken
+):
+    found = asked(tmp_path, PLAIN)
+    expiry = 1000 + round(found.category[0].expiry_ms * 10)
+    records = {"clients": [("w", 3, 0, 990, 1000, expiry + 10 * late_ms, 503, -1)], "backends": [],
+               "roster": []}
+    waits = ProcessorWaits()
+    for at, waited_ms in counters:
+        waits.add(3, 17, at, waited_ms * 1_000_000)
+    assert bool(checker.check(found, records, [], 4000, waits=waits)[checker.RULES[0]]) is broken
+
+
+def test_waits_go_on_where_an_agent_was_started_again():
+    waits = ProcessorWaits()
+    for at, process_id, waited_ms in ((0, 1, 5), (100, 1, 9), (200, 2, 3), (300, 2, 4)):
+        waits.add(0, process_id, at, waited_ms * 1_000_000)
+    assert [waits.between(0, 0, until) for until in (100, 200, 300, 999)] == [40, 70, 80, 80]
+    assert waits.between(0, 250, 260) == 10
+    assert waits.between(1, 0, 999) == 0
+    assert waits.most([0, 1], 100) == 40
+
+
 def test_measures_of_even_load():
     fit = [measures.Fit(n, 1.0 + n) for n in range(2)]
     held = [(0, 100, 0), (10, 60, 1), (20, 80, 1), (2000, 2010, 0), (2000, 2100, 1), (2001, 2100, 1)]
