Data plane: a client that pipelines and then leaves is noticed as any other

Cause: the loop tells of bytes and of an end alike; with pipelined bytes unread the watch on the connection was stopped, and the end behind them was seen only with the first answer. Now one epoll set, watched by the loop, tells of ends alone for connections with unread bytes (HangUps); a request that waited behind another, or for the first configuration, is not begun where its client has gone meanwhile. Ruled out: looking every 40 ms as the sidecar does (a timer for each such connection).

--- a/src/nettledeal/dataplane/ingress.py
+++ b/src/nettledeal/dataplane/ingress.py
@@ -22,7 +22,8 @@
 from nettledeal.dataplane.routing_table import RouteTarget, RoutingTable
 from nettledeal.net.protocol.framing import Malformed
 from nettledeal.net.transport.buffers import MemoryPool, OutOfMemory, ReadBuffer
-from nettledeal.net.transport.sockets import peek, send_all
+from nettledeal.net.transport.hang_ups import HangUps
+from nettledeal.net.transport.sockets import hung_up, peek, send_all
 from nettledeal.operator_api.configuration import ClientLimits
 
 MILLISECONDS = 1000.0
@@ -71,6 +72,7 @@
         self.has_catalogue = False
         self.started_at = time.monotonic()
         self.last_arrival_at = 0.0
+        self.hang_ups = HangUps()
         self._became_able = Event()
         self._listener: socket.socket | None = None
         self._accepting: gevent.Greenlet | None = None
@@ -157,6 +159,8 @@
         self.idle = True
         self.closing = False
         self.ended = False
+        self.pipelined = False  # whether the request under way waited behind another one
+        self._more_waits = False  # bytes behind the request under way, unread
         self.inbox = ReadBuffer(ingress.stock, ingress.limits.header_bytes + ingress.limits.body_bytes)
         self._watcher = None
         self._left: Callable[[], None] | None = None
@@ -195,6 +199,7 @@
         self._left = None
         if self._watcher is not None:
             self._watcher.stop()
+            self.ingress.hang_ups.unwatch(self.sock.fileno())
 
     def close_if_idle(self) -> bool:
         """Close the connection unless it has a request; whether it did."""
@@ -208,12 +213,22 @@
         if seen is None:
             return
         self._watcher.stop()
-        if not seen and self._left is not None:
+        if seen:
+            # More requests wait unread; the client may still leave behind them.
+            self._more_waits = True
+            self.ingress.hang_ups.watch(self.sock.fileno(), self._gone)
+        else:
+            self._gone()
+
+    def _gone(self) -> None:
+        if self._left is not None:
             self.closing = True
             self._left()
 
     def _receive(self) -> ClientRequest | None:
         """The next request; None where the connection ends without one."""
+        self.pipelined = self.inbox.filled > 0 or self._more_waits
+        self._more_waits = False
         self.idle = not self.inbox.filled
         if self.idle and not self._wait_for_request():
             return None
@@ -268,7 +283,10 @@
     def _serve(self, request: ClientRequest) -> None:
         self.sock.settimeout(None)
         self.closing = self.closing or self.ingress.draining or not request.keeps_connection
+        waited = self.pipelined or not self.ingress.able
         able = self.ingress.await_able(self._patience_s(request))
+        if waited and hung_up(self.sock):
+            raise ClientLeft
         table = self.ingress.table
         if not table.configured:
             self._refuse_until_ready(request)
@@ -336,7 +354,7 @@
         self.ended = True
         self.ingress.connections.pop(self, None)
         if self._watcher is not None:
-            self._watcher.stop()
+            self.unwatch()
             self._watcher.close()
             self._watcher = None
         self.sock.close()
