--- a/src/nettledeal/control/decisions.py
+++ b/src/nettledeal/control/decisions.py
@@ -10,8 +10,10 @@
     CONFIGURATION_KEY,
     CONFIGURATION_META_KEY,
     EVACUATION_PREFIX,
+    SHARE_PREFIX,
     TENANTS_KEY,
     Change,
+    ChangeShares,
     Command,
     ConfigurationMeta,
     ControlState,
@@ -36,6 +38,8 @@
         from nettledeal.tenancy.orders import judge_key
 
         return judge_key(state, command)
+    if isinstance(command, ChangeShares):
+        return _decide_shares(state, command)
     return _decide_evacuation(state, command)
 
 
@@ -80,3 +84,11 @@
     if (key in state.entries) == command.evacuated:
         return Decision(Outcome.ACCEPTED)
     return Decision(Outcome.ACCEPTED, (Change(key, b"" if command.evacuated else None),))
+
+
+def _decide_shares(state: ControlState, command: ChangeShares) -> Decision:
+    for change in command.changes:
+        if state.entries.get(SHARE_PREFIX + change.name) != change.before:
+            return Decision(Outcome.CONFLICT)
+    changes = tuple(Change(SHARE_PREFIX + change.name, change.after) for change in command.changes)
+    return Decision(Outcome.ACCEPTED, changes)
--- a/src/nettledeal/control/state.py
+++ b/src/nettledeal/control/state.py
@@ -21,6 +21,8 @@
 CONFIGURATION_META_KEY = "configuration-meta"
 ACCEPTED_PREFIX = "accepted/"
 EVACUATION_PREFIX = "evacuation/"
+# One for each data plane that shares the budgets, see `shares.roster`.
+SHARE_PREFIX = "share/"
 # There once a configuration has named tenants; what follows from it is judged in `tenancy`, loaded only then.
 TENANTS_KEY = "tenants"
 
@@ -114,7 +116,21 @@
     entry: bytes
 
 
-Command = PutConfiguration | SetEvacuation | SetTenantKey
+class ShareChange(msgspec.Struct, frozen=True):
+    """One data plane's entry of the share roster: what it was and what it becomes, None for no entry."""
+
+    name: str
+    before: bytes | None
+    after: bytes | None
+
+
+class ChangeShares(msgspec.Struct, frozen=True):
+    """Change the share roster, all of it or, where an entry is not as expected, nothing."""
+
+    changes: tuple[ShareChange, ...]
+
+
+Command = PutConfiguration | SetEvacuation | SetTenantKey | ChangeShares
 
 
 class Outcome(StrEnum):
--- a/src/nettledeal/distribution/control_source.py
+++ b/src/nettledeal/distribution/control_source.py
@@ -3,8 +3,9 @@
 Each route and each service is an entry of its own, so that a small change of a large configuration makes a
 small update: `route/<hostname> <path_prefix>` and `service/<name>` hold their JSON as the operator sent it;
 `limits` and `generation` belong to the configuration; `evacuation/<zone>` is there while its zone is
-evacuated. Routes of tenants are `tenant-route/<hostname> <path_prefix>`, so that a data plane of a release
-without tenants has none of them; `tenancy` holds the tenants and `tenant-key/<name>` a sealed key.
+evacuated; `share/<name>` is a data plane's place in the share roster. Routes of tenants are
+`tenant-route/<hostname> <path_prefix>`, so that a data plane of a release without tenants has none of them;
+`tenancy` holds the tenants and `tenant-key/<name>` a sealed key.
 """
 
 from __future__ import annotations
@@ -27,9 +28,10 @@
 GENERATION_KEY = "generation"
 TENANT_ROUTE_PREFIX = "tenant-route/"
 TENANT_KEY_PREFIX = "tenant-key/"
+SHARE_PREFIX = "share/"
 TENANCY_KEY = "tenancy"
 CONFIGURATION_KEY = "configuration"
-_PASSED_ON = (EVACUATION_PREFIX, TENANT_KEY_PREFIX)
+_PASSED_ON = (EVACUATION_PREFIX, TENANT_KEY_PREFIX, SHARE_PREFIX)
 _NO_TENANTS = b"[]"
 
 
--- a/tests/system/control_rehearsal.py
+++ b/tests/system/control_rehearsal.py
@@ -83,6 +83,7 @@
     timer: float = float("inf")
     gone: bool = False
     departing: bool = False
+    clock_ahead_s: float = 0.0
 
 
 @dataclass
@@ -131,6 +132,10 @@
         for n in range(count):
             self.add(f"h{n}", f"z{n}", bootstrap=f"h{n}" in self.seeds)
 
+    def clock(self, machine: Machine) -> float:
+        """The time of a machine's own steady clock."""
+        return self.now + machine.clock_ahead_s
+
     # Events
 
     def at(self, when: float, call: Callable, *arguments: object) -> None:
@@ -176,7 +181,7 @@
             Timing(),
             self.tolerance,
             Random(self.random.getrandbits(64)),
-            self.now,
+            self.clock(machine),
         )
         self.after(machine)
         self.at(self.now + 0.01, self._greet, machine, machine.life)
@@ -225,7 +230,7 @@
         if machine.paused:
             machine.held.insert(0, (self._terminate, (machine, life)))
             return
-        machine.replica.leave(self.now)
+        machine.replica.leave(self.clock(machine))
         self.after(machine)
 
     def _await_end(
@@ -311,7 +316,7 @@
         for answer in step.answers:
             self.tickets.pop(answer.ticket, lambda _: None)(answer.result)
         self._look(machine)
-        due = max(replica.wake, self.now + MIN_WAKE_S)
+        due = max(self.now + replica.wake - self.clock(machine), self.now + MIN_WAKE_S)
         if due < machine.timer:
             machine.timer = due
             self.at(due, self._wake, machine, machine.life, due)
@@ -323,7 +328,7 @@
             machine.held.append((self._wake, (machine, life, due)))
             return
         machine.timer = float("inf")
-        machine.replica.tick(self.now)
+        machine.replica.tick(self.clock(machine))
         self.after(machine)
 
     def _keep_syncing(self, machine: Machine) -> None:
@@ -349,7 +354,7 @@
         machine.waiting_sends = [send for send in machine.waiting_sends if send.after > machine.synced]
         for send in ready:
             self._transmit(machine, send.host, send.message)
-        machine.replica.synced(self.now, machine.synced)
+        machine.replica.synced(self.clock(machine), machine.synced)
         self.after(machine)
 
     def _transmit(self, machine: Machine, host: str, message: Message) -> None:
@@ -372,21 +377,21 @@
         if machine.paused:
             machine.held.append((self._arrive, (host, sender, message, life)))
             return
-        machine.replica.receive(self.now, sender, message)
+        machine.replica.receive(self.clock(machine), sender, message)
         self.after(machine)
 
     def set_storage(self, machine: Machine, life: int, works: bool) -> None:
         if machine.replica is not None and machine.life == life:
-            machine.replica.set_storage(self.now, works)
+            machine.replica.set_storage(self.clock(machine), works)
             self.after(machine)
 
     # Calls
 
     def submit(self, machine: Machine, command: PutConfiguration, done: Callable) -> None:
-        self._call(machine, done, lambda ticket: machine.replica.submit(self.now, ticket, command))
+        self._call(machine, done, lambda ticket: machine.replica.submit(self.clock(machine), ticket, command))
 
     def read(self, machine: Machine, done: Callable) -> None:
-        self._call(machine, done, lambda ticket: machine.replica.read(self.now, ticket))
+        self._call(machine, done, lambda ticket: machine.replica.read(self.clock(machine), ticket))
 
     def _call(self, machine: Machine, done: Callable, ask: Callable[[int], None]) -> None:
         if machine.replica is None or machine.paused:
@@ -556,7 +561,12 @@
         world = self.world
         if world.now >= self.until:
             return
-        faults = (
+        self.random.choice(self.faults())()
+        world.at(world.now + 0.1 + self.random.random() ** 2 * 3.0, self._next)
+
+    def faults(self) -> tuple[Callable[[], None], ...]:
+        """What may happen, as often as it is named."""
+        return (
             self._kill,
             self._kill,
             self._kill_all,
@@ -572,8 +582,6 @@
             self._replace,
             self._leave,
         )
-        self.random.choice(faults)()
-        world.at(world.now + 0.1 + self.random.random() ** 2 * 3.0, self._next)
 
     def _span(self) -> float:
         return 0.1 + self.random.random() ** 2 * 5.0
--- a/tests/system/test_control_rehearsal.py
+++ b/tests/system/test_control_rehearsal.py
@@ -24,6 +24,7 @@
 from nettledeal.control.state import ControlState, Outcome, PutConfiguration
 from nettledeal.control.steps import Send
 from tests.system.control_rehearsal import Chaos, World, rehearse, settled
+from tests.system.control_worst_days import SHAPES, worst_day
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -192,10 +193,13 @@
 
 
 def replica_type_broken(replica_type, seed) -> list[str]:
+    return unsafe(rehearse(seed, 3, 1, replica_type=replica_type))
+
+
+def unsafe(found: list[str]) -> list[str]:
     """Broken promises of safety only; a fault that merely stops everything is not what is looked for."""
-    found = rehearse(seed, 3, 1, replica_type=replica_type)
-    unsafe = ("twice", "acted", "two states", "acknowledged", "lacks", "lost")
-    return [line for line in found if any(word in line for word in unsafe)]
+    words = ("twice", "acted", "two states", "acknowledged", "lacks", "lost")
+    return [line for line in found if any(word in line for word in words)]
 
 
 def test_records_of_another_cluster_are_passed_over():
@@ -247,3 +251,20 @@
     world.at(world.now + 0.5, world.start, primary)
     world.run(world.now + 15.0)
     assert settled(world) == []
+
+
+@pytest.mark.parametrize("shape", SHAPES.values(), ids=SHAPES)
+@pytest.mark.parametrize("seed", range(4))
+def test_the_worst_days_break_no_promise(seed, shape):
+    """A small fixed part; all of it: `experiments/control_schedules.py`."""
+    assert worst_day(seed, shape) == []
+
+
+@pytest.mark.parametrize("shape", SHAPES.values(), ids=SHAPES)
+@pytest.mark.parametrize("replica_type", PLANTED, ids=lambda kind: kind.__name__)
+def test_a_planted_fault_is_caught_on_the_worst_days(replica_type, shape):
+    for seed in range(60):
+        KeepsIdentityAfterWipe.lives.clear()
+        if unsafe(worst_day(seed, shape, replica_type)):
+            return
+    pytest.fail(f"{replica_type.__name__} was not caught")
