Budgets: shares of retries and warm-up by a roster in the control state, with a lease; none grows by silence

Cause: each agent divided the slack by the members that it saw; after 60 s of a cut each side divided the whole anew, and a process killed in a cut joined its side only and did so at once. Now the primary keeps a roster (joining, granted, retiring): whoever is named is counted, and a name is counted from before its grant until a lease (30 s) after it was taken back, so any two versions in use at once count all who may spend. Who is out of touch, or in its first window, has a sixth of its part out of the margin. Warm-up the same, by rank in the roster. Without a roster (earlier core): members seen, as before.

--- a/src/nettledeal/dataplane/agent.py
+++ b/src/nettledeal/dataplane/agent.py
@@ -15,7 +15,7 @@
 from nettledeal.common.logs import log_event
 from nettledeal.common.settings import Settings
 from nettledeal.dataplane.backend_connections import BackendConnections
-from nettledeal.dataplane.budgets import BudgetTerms, EqualShare, RetryBudget
+from nettledeal.dataplane.budgets import BudgetTerms, EqualShare, LeasedShare, RetryBudget
 from nettledeal.dataplane.draining import Drain
 from nettledeal.dataplane.forwarding import Forwarding
 from nettledeal.dataplane.ingress import Ingress
@@ -26,6 +26,8 @@
 from nettledeal.discovery.catalogue import Backend, BackendState
 from nettledeal.net.transport.buffers import MemoryPool
 from nettledeal.operator_api.configuration import Service
+from nettledeal.shares.lease import ShareLease
+from nettledeal.shares.roster import roster_in
 
 SWEEP_INTERVAL_S = 0.5
 # Of a process's memory, what messages may take beyond the first bytes of each.
@@ -46,13 +48,15 @@
         self.random = random or Random()
         now = time.monotonic()
         bounds = settings.bounds
-        self.slack_share = EqualShare(now, bounds.budget_window_s)
+        self.lease = ShareLease(settings.node_name, now)
+        self.equal_share = EqualShare()
+        terms = BudgetTerms(bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s)
         self.budget = RetryBudget(
-            BudgetTerms(bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s),
-            self.slack_share,
+            terms, LeasedShare(self.lease, terms.window_s + terms.window_margin_s, self.equal_share)
         )
         tuning = Tuning(warmup=WarmupBounds(bounds.warmup_overage, bounds.warmup_slack))
         self.selector = Selector(tuning, settings.zone, settings.region, settings.zones, self.random)
+        self.selector.warmup.lease = self.lease
         self.stock = MemoryPool(int(settings.limits.memory_mb * MEBIBYTE * MESSAGE_MEMORY_SHARE))
         self.connections = BackendConnections(self.stock)
         self.selector.placement.connected = self._connected
@@ -98,6 +102,7 @@
         table = updated_table(self._table, entries)
         self._table = table
         self.control_version = version
+        self.lease.use(roster_in(entries))
         self.selector.update_services([_profile(service) for service in table.services.values()], now)
         self.selector.set_evacuated(table.evacuated, now)
         if self._connection_terms != self._terms():
@@ -159,7 +164,7 @@
 
     def set_data_plane_members(self, count: int, names: Collection[str]) -> None:
         """Take the live data-plane members, this process included."""
-        self.slack_share.set_members(count, time.monotonic())
+        self.equal_share.set_members(count, time.monotonic())
         self.connections.members = max(1, count)
         self.selector.set_agents(names, self.settings.node_name, time.monotonic())
 
--- a/src/nettledeal/dataplane/budgets.py
+++ b/src/nettledeal/dataplane/budgets.py
@@ -1,8 +1,8 @@
 """The retry budget: how many further attempts a process may start without asking anyone.
 
 The budget of a service holds for all agents together: in any window, attempts past the first of each request
-may come to `ratio` x requests + `slack`. Every agent may spend what its own requests earn, and an equal part
-of the slack by the number of data-plane members that it knows. Times are seconds of a monotonic clock.
+may come to `ratio` x requests + `slack`. Every agent may spend what its own requests earn, and its part of
+the slack by the share roster (`shares`). Times are seconds of a monotonic clock.
 """
 
 from __future__ import annotations
@@ -12,9 +12,11 @@
 
 import msgspec
 
+from nettledeal.shares.lease import STARTING_SHARE, ShareLease
+
 
 class SlackShare(Protocol):
-    """Where an agent's part of the slack comes from; leased parts can take the place of equal ones."""
+    """Where an agent's part of the slack comes from."""
 
     def amount(self, service: str, slack: float, now: float) -> float:
         """Attempts of the slack that this process may start in one window."""
@@ -22,25 +24,28 @@
 
 
 class BudgetTerms(msgspec.Struct, frozen=True):
-    """The figures of the budget and the safety kept from them."""
+    """The figures of the budget and the safety kept from them.
+
+    Of the slack more is kept back: out of it processes that have just started or are out of touch spend.
+    """
 
     ratio: float
     slack: float
     window_s: float
     margin: float = 0.75
+    slack_margin: float = 0.65
     # Spent attempts are remembered longer and earned ones shorter than the window: they travel.
     window_margin_s: float = 0.75
 
 
 class EqualShare:
-    """An equal part of the slack for each data-plane member seen of late; nearly nothing after the start.
+    """An equal part of the slack for each data-plane member seen of late.
 
-    A process that restarts has forgotten what it spent, and one that has just joined knows few others. One
-    that is cut off sees the others go, while they still spend their parts: so the most members seen count.
+    For a core that makes no roster: one of an earlier release, or before the first. One that is cut off sees
+    the others go, while they still spend their parts: so the most members seen count.
     """
 
-    def __init__(self, started_at: float, settle_s: float, memory_s: float = 30.0):
-        self.settled_at = started_at + settle_s
+    def __init__(self, memory_s: float = 30.0):
         self.memory_s = memory_s
         self._views: deque[tuple[float, int]] = deque()
 
@@ -57,8 +62,22 @@
         return max(1, self._views[0][1]) if self._views else 1
 
     def amount(self, service: str, slack: float, now: float) -> float:
-        part = slack / self.members(now)
-        return min(1.0, part) if now < self.settled_at else part
+        return slack / self.members(now)
+
+
+class LeasedShare:
+    """The part of the slack that the share roster grants; an equal one as long as there is no roster."""
+
+    def __init__(self, lease: ShareLease, window_s: float, without_roster: EqualShare):
+        self.lease = lease
+        self.window_s = window_s
+        self.without_roster = without_roster
+
+    def amount(self, service: str, slack: float, now: float) -> float:
+        if self.lease.known:
+            return self.lease.part(slack, now, self.window_s)
+        share = STARTING_SHARE if self.lease.starting(now, self.window_s) else 1.0
+        return share * self.without_roster.amount(service, slack, now)
 
 
 class RetryBudget:
@@ -82,7 +101,7 @@
         spent = self._spent.get(service, deque())
         self._forget(earned, now - self.terms.window_s + self.terms.window_margin_s)
         self._forget(spent, now - self.terms.window_s - self.terms.window_margin_s)
-        slack = self.share.amount(service, self.terms.slack * self.terms.margin, now)
+        slack = self.share.amount(service, self.terms.slack * self.terms.slack_margin, now)
         return slack + self.terms.ratio * self.terms.margin * len(earned) - len(spent)
 
     def try_spend(self, service: str, now: float) -> bool:
--- a/src/nettledeal/dataplane/selection/warmup.py
+++ b/src/nettledeal/dataplane/selection/warmup.py
@@ -1,8 +1,9 @@
 """Shares of what a cold backend may get, divided between agents without a round trip.
 
 All agents together may send `per_s x overage + slack` requests within one second. Each agent takes an integer
-part by its rank among the data-plane members that it has seen of late; when there are more agents than
-requests, the agents ranked lower for this backend send none. Ranks differ by backend.
+part by its rank among those that the share roster counts, or, as long as there is no roster, among the
+data-plane members that it has seen of late; when there are more agents than requests, the agents ranked lower
+for this backend send none. Ranks differ by backend.
 """
 
 from __future__ import annotations
@@ -12,10 +13,12 @@
 
 from nettledeal.dataplane.selection.affinity import ordered
 from nettledeal.dataplane.selection.model import ServiceProfile, Tuning
+from nettledeal.shares.lease import ShareLease
 
 WINDOW_S = 1.0
 # A request counted at the edge of the window may arrive a little later than it was sent.
 WINDOW_MARGIN_S = 0.15
+MOST_REMEMBERED = 1024
 
 
 class MembersSeen:
@@ -50,27 +53,34 @@
     def __init__(self, tuning: Tuning, members: MembersSeen):
         self.tuning = tuning
         self.members = members
+        self.lease: ShareLease | None = None
         self._sent: dict[str, deque[float]] = {}
-        self._shares: dict[tuple[str, float, tuple[str, ...]], int] = {}
+        self._shares: dict[tuple[str, int, tuple[str, ...]], int] = {}
 
     def share(self, backend_id: str, service: ServiceProfile, now: float) -> int:
         """Requests a second that this agent may send to the backend."""
+        bounds = self.tuning.warmup
+        bound = (service.warmup_per_s * bounds.overage + bounds.slack) * self.tuning.warmup_margin
+        if self.lease is not None and self.lease.known:
+            share = self.lease.share(now, WINDOW_S + WINDOW_MARGIN_S)
+            if not share:
+                return 0
+            return self._part(backend_id, int(bound * share), self.lease.roster.names, self.lease.own_name)
         if not self.members.own_name:
             return 0
-        bounds = self.tuning.warmup
-        bound = service.warmup_per_s * bounds.overage + bounds.slack
-        key = (backend_id, bound, self.members.names)
-        if key not in self._shares:
-            if len(self._shares) > 1024:
-                self._shares.clear()
-            self._shares[key] = self._part(backend_id, int(bound * self.tuning.warmup_margin))
-        part = self._shares[key]
+        part = self._part(backend_id, int(bound), self.members.names, self.members.own_name)
         return part if self.members.settled(now) else min(part, 1)
 
-    def _part(self, backend_id: str, requests: int) -> int:
-        position = ordered(backend_id, self.members.names).index(self.members.own_name)
-        equal, rest = divmod(requests, len(self.members.names))
-        return equal + (1 if position < rest else 0)
+    def _part(self, backend_id: str, requests: int, names: tuple[str, ...], own_name: str) -> int:
+        """The part of `own_name`, remembered while names and requests are the same."""
+        key = (backend_id, requests, names)
+        if key not in self._shares:
+            if len(self._shares) > MOST_REMEMBERED:
+                self._shares.clear()
+            equal, rest = divmod(requests, len(names))
+            position = ordered(backend_id, names).index(own_name)
+            self._shares[key] = equal + (1 if position < rest else 0)
+        return self._shares[key]
 
     def allows(self, backend_id: str, service: ServiceProfile, now: float) -> bool:
         """Whether one more request may go to this cold backend now."""
--- a/src/nettledeal/operator_api/status.py
+++ b/src/nettledeal/operator_api/status.py
@@ -66,9 +66,10 @@
 
 
 class BudgetStatus(msgspec.Struct, frozen=True):
-    """Budgets that all data planes share, and how many members share them."""
+    """Budgets that data planes share: among how many they are divided, and how many may spend their part."""
 
     members: int = 1
+    granted: int = 0
     retry_ratio: float = 0.0
     retry_slack: float = 0.0
     retry_window_s: float = 0.0
--- a/src/nettledeal/programs/commands/status.py
+++ b/src/nettledeal/programs/commands/status.py
@@ -95,7 +95,7 @@
 def _render_budgets(report: StatusReport) -> str:
     budgets = report.budgets
     table = Table("budget", "")
-    table.add("shared by", f"{budgets.members} data planes")
+    table.add("shared by", f"{budgets.members} data planes, {budgets.granted} granted")
     table.add(
         "retries",
         f"{budgets.retry_ratio:g} x requests + {budgets.retry_slack:g} in {budgets.retry_window_s:g} s",
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -23,6 +23,7 @@
 from nettledeal.membership.node import MembershipNode, Role
 from nettledeal.operator_api.server import OperatorServer
 from nettledeal.programs.process import run_plane
+from nettledeal.programs.share_loop import ShareLoop
 from nettledeal.programs.status_sections import budget_status, epoch_status, source_status
 from nettledeal.registry.server import RegistryServer
 
@@ -64,9 +65,10 @@
                 "streams": self.publisher.acknowledged,
                 "epoch": lambda: epoch_status(self.node),
                 "sources": lambda: source_status(sources.values()),
-                "budgets": lambda: budget_status(settings, self.membership.data_plane_count()),
+                "budgets": lambda: budget_status(settings, self.node.state),
             },
         )
+        self._shares = ShareLoop(self.node, self.membership)
         self._confirming: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -80,10 +82,12 @@
             self.registry.start()
         self.operator_api.start()
         self._confirming = gevent.spawn(self._confirm)
+        self._shares.start()
 
     def stop(self) -> None:
         """Hand over what this machine leads, then end."""
         self.membership.leave()
+        self._shares.stop()
         self.operator_api.stop()
         self.node.stop()
         self.publisher.stop()
--- a/src/nettledeal/programs/data_plane.py
+++ b/src/nettledeal/programs/data_plane.py
@@ -43,6 +43,7 @@
             settings, settings.node_name, self.directory.targets, SOURCES, self._apply
         )
         self.subscriber.on_findings = self._take_findings
+        self.data_plane.lease.age_s = lambda: self.subscriber.age_s(CONTROL_SOURCE)
         self._reports = self.data_plane.selector.reports
         self._report_due = Event()
         self._reports.on_added = self._report_due.set
--- a/src/nettledeal/programs/status_sections.py
+++ b/src/nettledeal/programs/status_sections.py
@@ -8,8 +8,10 @@
 
 from nettledeal.common.settings import Settings
 from nettledeal.control.node import ControlNode
+from nettledeal.control.state import ControlState
 from nettledeal.distribution.source import PublishedSource
 from nettledeal.operator_api.status import BudgetStatus, EpochStatus, SourceStatus
+from nettledeal.shares.roster import roster_in
 
 
 def epoch_status(node: ControlNode) -> EpochStatus:
@@ -38,11 +40,13 @@
     }
 
 
-def budget_status(settings: Settings, members: int) -> BudgetStatus:
-    """The budgets that `members` data planes share."""
+def budget_status(settings: Settings, state: ControlState) -> BudgetStatus:
+    """The budgets that the data planes of the share roster divide."""
     bounds = settings.bounds
+    roster = roster_in(state.entries)
     return BudgetStatus(
-        members=members,
+        members=roster.size,
+        granted=len(roster.granted),
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_budget_slack,
         retry_window_s=bounds.budget_window_s,
