--- a/src/nettledeal/dataplane/attempt_end.py
+++ b/src/nettledeal/dataplane/attempt_end.py
@@ -34,10 +34,14 @@
     return answer.not_executed and answer.status in PROMISES
 
 
-def attempt_outcome(answer: BackendAnswer, end: AttemptEnd) -> AttemptOutcome:
-    """What an attempt with this answer says of its backend."""
+def attempt_outcome(answer: BackendAnswer, end: AttemptEnd, names_version: bool) -> AttemptOutcome:
+    """What an attempt with this answer says of its backend.
+
+    421 says that another one has the address, unless the client named a version of the weights: then it may
+    as well say that this backend has other ones.
+    """
     if end is AttemptEnd.NOT_EXECUTED:
-        gone = answer.status == HTTPStatus.MISDIRECTED_REQUEST
+        gone = answer.status == HTTPStatus.MISDIRECTED_REQUEST and not names_version
         return AttemptOutcome.GONE if gone else AttemptOutcome.REFUSED
     if end is AttemptEnd.ANSWERED and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
         return AttemptOutcome.COMPLETED
--- a/src/nettledeal/dataplane/client_request.py
+++ b/src/nettledeal/dataplane/client_request.py
@@ -73,6 +73,11 @@
         """The id of this try."""
         return self.header(b"request-id")
 
+    @property
+    def names_version(self) -> bool:
+        """Whether the client wants a certain version of the backend's weights."""
+        return bool(self.header(b"expect-version"))
+
     @property
     def expects_continue(self) -> bool:
         """The client sends the body only after an interim answer."""
--- a/src/nettledeal/dataplane/forwarding.py
+++ b/src/nettledeal/dataplane/forwarding.py
@@ -184,7 +184,7 @@
             if answer.is_event_stream:
                 answer.heard = StreamPauses(selector, attempt).heard
             end = self._take(answer)
-            outcome = attempt_outcome(answer, end)
+            outcome = attempt_outcome(answer, end, self.request.names_version)
             return end
         except gevent.Timeout:
             outcome = AttemptOutcome.TIMED_OUT
--- a/tests/system/simulated_members.py
+++ b/tests/system/simulated_members.py
@@ -22,6 +22,7 @@
 SEEDS = 3
 FRONTEND_PORT = 8161
 ONE_WAY = SECOND // 100
+QUOTA_PERIOD = SECOND // 10
 
 
 class Group:
@@ -35,6 +36,7 @@
         self.numbers = 0
         self.members: dict[tuple[str, int], Member] = {}
         self.cut: frozenset[tuple[str, int]] = frozenset()
+        self.quotas: dict[tuple[str, int], float] = {}  # share of the processor, by member
         self.sent_bytes = 0
         self.seeds = [("10.1.0.0", 7722), ("10.1.0.1", 7722), ("10.1.0.2", 7722)][:SEEDS]
         for number in range(CORES + size):
@@ -65,9 +67,21 @@
         end = self.now + round(seconds * SECOND)
         while self.events and self.events[0][0] <= end:
             self.now, _, what, about = heappop(self.events)
-            getattr(self, f"_{what}")(*about)
+            pause = self._pause(tuple(about[0]))
+            if pause:
+                self._put(pause, what, *about)
+            else:
+                getattr(self, f"_{what}")(*about)
         self.now = end
 
+    def _pause(self, address: tuple[str, int]) -> int:
+        """How long a member whose processor quota is spent does nothing from now on."""
+        quota = self.quotas.get(address)
+        if quota is None:
+            return 0
+        phase = (self.now + sum(address[0].encode())) % QUOTA_PERIOD
+        return 0 if phase < quota * QUOTA_PERIOD else QUOTA_PERIOD - phase
+
     def _put(self, after: int, what: str, *about: object) -> None:
         self.numbers += 1
         heappush(self.events, (self.now + after, self.numbers, what, about))
--- a/tests/system/test_control_writer.py
+++ b/tests/system/test_control_writer.py
@@ -2,10 +2,14 @@
 
 import sqlite3
 
+import gevent
 import pytest
+from gevent.event import Event
 
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.control.epochs import WitnessState
+from nettledeal.control.state import Change
+from nettledeal.control.steps import SaveChanges
 from nettledeal.control.storage import DATABASE_NAME, Storage
 from nettledeal.control.writer import Writer
 
@@ -41,3 +45,27 @@
     assert storage._connection.execute("PRAGMA journal_mode").fetchone()[0] == "wal"
     storage.close()
     assert Storage(tmp_path).replica_id == "a"
+
+
+def test_a_full_disk_is_told_and_what_waits_is_written_once_there_is_room(tmp_path, monkeypatch):
+    """Each write is refused until there is room; none of those that wait is lost or acknowledged before."""
+    monkeypatch.setattr("nettledeal.control.writer.RETRY_S", 0.001)
+    storage = Storage(tmp_path)
+    storage.create("a", WitnessState())
+    storage._connection.execute("PRAGMA max_page_count = 1")
+    synced = Event()
+    writer = Writer(lambda number: synced.set() if number == 3 else None)
+    writer.start(storage)
+    for number in (1, 2, 3):
+        writer.put(number, SaveChanges(1, number, (Change(f"key {number}", bytes(100_000)),)))
+    with gevent.Timeout(10):
+        while writer.works():
+            gevent.idle()
+        assert not synced.is_set()
+        writer.run_blocking(storage._connection.execute, "PRAGMA max_page_count = 100000")
+        synced.wait()
+        while not writer.works():
+            gevent.idle()
+    writer.stop()
+    found = Storage(tmp_path).load()
+    assert found.state.sequence == 3 and set(found.state.entries) == {"key 1", "key 2", "key 3"}
--- a/tests/system/test_dataplane_attempts.py
+++ b/tests/system/test_dataplane_attempts.py
@@ -36,6 +36,18 @@
         assert rig.client().ask()[2] == b"i-2"
 
 
+@pytest.mark.parametrize(("version", "asked_again"), [(None, False), ("7", True)])
+def test_a_backend_with_other_weights_is_not_taken_for_one_that_is_gone(version, asked_again):
+    """421 may say either; only where the client named no version it says that the address is another's."""
+    more = {"Expect_Version": version} if version else {}
+    with running(StandIn("i-1", script=misdirected), StandIn("i-2")) as rig:
+        client = rig.client()
+        assert client.ask(Request_Id="r1", **more)[2] == b"i-2"
+        assert rig.backends[1].seen[0].headers.get("expect-version") == version
+        client.ask(Request_Id="r2", **more)
+        assert (len(rig.backends[0].seen) == 2) is asked_again
+
+
 def test_max_attempts_bounds_the_backends_that_get_it():
     with running(StandIn("i-1", script=refuses), StandIn("i-2")) as rig:
         status, headers, _ = rig.client().ask("/once/x")
--- a/tests/system/test_dataplane_changes.py
+++ b/tests/system/test_dataplane_changes.py
@@ -11,7 +11,7 @@
 from nettledeal.discovery.catalogue import Backend, BackendState, encode_backend
 
 from . import drawn_deployment
-from .dataplane_rig import entries
+from .dataplane_rig import StandIn, entries, running
 
 ZONES = ["zone-00", "zone-01", "zone-02"]
 UNREADABLE = b"\xff\x00"
@@ -122,3 +122,26 @@
     assert updates == []
     made.apply_control((3,), entries(evacuated=("zone-01",)))
     assert len(updates) == 1
+
+
+READY_THROUGH = {
+    "all backends leave the list": lambda plane: plane.apply_catalogue((1, 2), {}),
+    "all zones are evacuated": lambda plane: plane.apply_control(
+        2, entries(evacuated=("north-1", "south-1"))
+    ),
+    "no route is left": lambda plane: plane.apply_control(2, {"limits": b"{}", "generation": b"2"}),
+    "the other members are lost": lambda plane: plane.set_data_plane_members(1, []),
+    "zones are doubted": lambda plane: plane.set_doubted_zones(["north-1", "south-1"]),
+}
+
+
+@pytest.mark.alone
+@pytest.mark.parametrize("happens", READY_THROUGH.values(), ids=READY_THROUGH)
+def test_a_machine_that_serves_stays_ready(happens):
+    """Out of touch, or with nothing to send to, it still answers each request at once."""
+    with running(StandIn("i-1")) as rig:
+        assert rig.plane.ready
+        happens(rig.plane)
+        assert rig.plane.ready
+        rig.plane.ingress.drain()
+        assert not rig.plane.ready
