--- a/tests/system/control_exploring.py
+++ b/tests/system/control_exploring.py
@@ -8,13 +8,11 @@
 Two reductions keep the number of states down. Of heartbeats and their answers the latest on a link stands for
 those before it. Messages that can change nothing any more are left out as soon as that is so.
 
-Run as a module it explores whole bounds: `python -m tests.system.control_exploring [STATES]`.
+Whole bounds are explored many states at a time: `vector_exploring`, `experiments/control_bounds.py`.
 """
 
 from __future__ import annotations
 
-import sys
-import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
@@ -72,9 +70,9 @@
     actors: frozenset[tuple[int, str, int]] = frozenset()
 
 
-# Numbers of local states by host, ENDED for a process that has left; numbers of messages by link; what may
-# still happen; the number of a `Past`.
-State = tuple[tuple[int | None, ...], tuple[tuple[int, ...], ...], Bounds, int]
+# Numbers of local states by host, ENDED for a process that has left; numbers of messages by link; the number
+# of what may still happen; the number of a `Past`.
+State = tuple[tuple[int | None, ...], tuple[tuple[int, ...], ...], int, int]
 
 
 class Explorer:
@@ -87,6 +85,9 @@
         self._pasts: list[Past] = []
         self._past_numbers: dict[Past, int] = {}
         self._survivals: dict[tuple, str] = {}
+        self._lefts: list[Bounds] = []
+        self._left_numbers: dict[Bounds, int] = {}
+        self._spent_numbers: dict[tuple[int, str], int] = {}
         self._counted: dict[tuple[int, int, tuple[int, ...]], tuple[int, ...]] = {}
         self._looks: dict[tuple[int, int], int | str] = {}
 
@@ -120,7 +121,7 @@
         durable = Durable(WitnessState(record), -1, ControlState(0, pmap()))
         numbers = tuple(self.replicas.begin(voter, durable, 1) for voter in voters)
         links = ((),) * len(self.hosts) ** 2
-        state: State = (numbers, links, self.bounds, self._past_number(Past()))
+        state: State = (numbers, links, self._left_number(self.bounds), self._past_number(Past()))
         state = self._happen(state, 0, ("stand",))
         for _ in range(6):
             while any(state[1]):
@@ -129,7 +130,23 @@
             state = self._happen(state, 0, ("beat",))
         view = self.replicas.views[state[0][0]]
         assert view.acting_in == 1 and view.committed is not None
-        return (state[0], links, self.bounds, state[3])
+        return (state[0], links, state[2], state[3])
+
+    def _left_number(self, left: Bounds) -> int:
+        number = self._left_numbers.get(left)
+        if number is None:
+            number = self._left_numbers[left] = len(self._lefts)
+            self._lefts.append(left)
+        return number
+
+    def _spent(self, left: int, what: str) -> int:
+        """What may still happen once one more of `what` has."""
+        key = (left, what)
+        if key not in self._spent_numbers:
+            bounds = self._lefts[left]
+            spent = replace(bounds, **{what: getattr(bounds, what) - 1})
+            self._spent_numbers[key] = self._left_number(spent)
+        return self._spent_numbers[key]
 
     # Steps
 
@@ -142,8 +159,8 @@
             name = f"{self.hosts[source]} to {self.hosts[target]}"
             content = type(self.replicas.messages[messages[0]]).__name__
             yield f"{name}: {content}", self._deliver_first(state, link)
-            if left.resets:
-                spent = replace(left, resets=left.resets - 1)
+            if self._lefts[left].resets:
+                spent = self._spent(left, "resets")
                 yield f"{name} is reset", (numbers, _without(sent, link), spent, past)
         for host, number in enumerate(numbers):
             if number is ENDED:
@@ -155,31 +172,32 @@
                 after = self._happen((numbers, sent, spent, past), host, event)
                 yield f"{self.hosts[host]} {what}", after
 
-    def _events(self, left: Bounds, host: str, view: View) -> Iterator[tuple[str, Event, Bounds]]:
+    def _events(self, left: int, host: str, view: View) -> Iterator[tuple[str, Event, int]]:
+        bounds = self._lefts[left]
         if view.may_go_on:
             yield "goes on", ("go on",), left
-        if left.elections and view.may_lead:
-            yield "stands", ("stand",), replace(left, elections=left.elections - 1)
-        if left.crashes:
-            yield "restarts", ("restart",), replace(left, crashes=left.crashes - 1)
-        if left.wipes:
-            yield "loses its disk", ("wipe", f"{host}-{view.life}"), replace(left, wipes=left.wipes - 1)
-        if left.leaves and not view.leaving:
-            yield "leaves", ("leave",), replace(left, leaves=left.leaves - 1)
+        if bounds.elections and view.may_lead:
+            yield "stands", ("stand",), self._spent(left, "elections")
+        if bounds.crashes:
+            yield "restarts", ("restart",), self._spent(left, "crashes")
+        if bounds.wipes:
+            yield "loses its disk", ("wipe", f"{host}-{view.life}"), self._spent(left, "wipes")
+        if bounds.leaves and not view.leaving:
+            yield "leaves", ("leave",), self._spent(left, "leaves")
         if view.acting_in is None:
             return
-        ticket = left.orders + 100 * left.reads
-        if left.orders:
-            digest = f"{host}.{left.orders}".encode()
+        ticket = bounds.orders + 100 * bounds.reads
+        if bounds.orders:
+            digest = f"{host}.{bounds.orders}".encode()
             order = PutConfiguration(0, 1, digest, digest)
-            yield "is given an order", ("order", ticket, order), replace(left, orders=left.orders - 1)
-        if left.reads:
-            yield "is read", ("read", ticket), replace(left, reads=left.reads - 1)
-        if left.beats:
-            yield "beats", ("beat",), replace(left, beats=left.beats - 1)
-        if left.drops:
+            yield "is given an order", ("order", ticket, order), self._spent(left, "orders")
+        if bounds.reads:
+            yield "is read", ("read", ticket), self._spent(left, "reads")
+        if bounds.beats:
+            yield "beats", ("beat",), self._spent(left, "beats")
+        if bounds.drops:
             for name in view.droppable:
-                yield f"drops {name}", ("drop", name), replace(left, drops=left.drops - 1)
+                yield f"drops {name}", ("drop", name), self._spent(left, "drops")
 
     def _deliver_first(self, state: State, link: int) -> State | str:
         numbers, sent, left, past = state
@@ -236,7 +254,7 @@
         if isinstance(past_number, str):
             return past_number
         # A drop could make a message count again.
-        if not left.drops:
+        if not self._lefts[left].drops:
             sent = self._without_spent(numbers, sent, host)
         state = (numbers, sent, left, past_number)
         return self._survives(state) or state
@@ -437,29 +455,3 @@
     Bounds(elections=1, orders=1, drops=1),
     Bounds(elections=1, orders=1, leaves=1),
 ]
-
-
-def main() -> int:
-    """Explore each bound whole, or up to as many states as are told."""
-    states = int(sys.argv[1]) if len(sys.argv) > 1 else 10_000_000
-    chosen = [WHOLE_BOUNDS[int(number)] for number in sys.argv[2:]] or WHOLE_BOUNDS
-    broken = 0
-    for bounds in chosen:
-        began = time.monotonic()
-        found = Explorer(replace(bounds, states=states)).explore()
-        broken += bool(found.broken)
-        what = ", ".join(
-            f"{value} {name}" for name, value in vars(bounds).items() if name != "states" and value
-        )
-        extent = "whole" if found.whole else "in part"
-        print(
-            f"{what}: {found.states} states, {extent}, {time.monotonic() - began:.0f} s",
-            *([found.broken, *found.path] if found.broken else []),
-            sep="\n  ",
-            flush=True,
-        )
-    return 1 if broken else 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/tests/system/test_control_exploring.py
+++ b/tests/system/test_control_exploring.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from nettledeal.control import composition
-from nettledeal.control.messages import Accepted, Promise
+from nettledeal.control.messages import Accepted, Append, Appended, Promise
 from nettledeal.control.primary import Primary
 from nettledeal.control.replica import Replica
 from tests.system.control_exploring import Bounds, Explorer
 from tests.system.exploring_replicas import Explored
+from tests.system.vector_exploring import VectorExplorer
 
 STATES = 4000
+MOST_MEMORY_MB = 4000.0
 BOUNDS = [
     Bounds(elections=1, orders=1),
     Bounds(elections=2, orders=1),
@@ -24,7 +27,7 @@
     Bounds(elections=1, orders=1, leaves=1),
     Bounds(elections=0, orders=1, leaves=1, count=4),
 ]
-# Seen whole by the tests; the others up to STATES, and whole by `python -m tests.system.control_exploring`.
+# Seen whole by the tests; the others up to STATES, and whole by `experiments/control_bounds.py`.
 WHOLE = [
     Bounds(elections=1, orders=0),
     Bounds(elections=0, orders=1, crashes=1),
@@ -46,6 +49,13 @@
     assert found.whole
 
 
+@pytest.mark.parametrize("bounds", [*WHOLE, Bounds(elections=0, orders=1, beats=1, resets=1)], ids=repr)
+def test_many_states_at_a_time_are_the_same_states(bounds):
+    one_by_one = Explorer(bounds).explore()
+    assert VectorExplorer(bounds).explore(MOST_MEMORY_MB) == one_by_one
+    assert one_by_one.whole
+
+
 class ActsAfterRestart(Explored):
     """A primary that goes on in its epoch after a restart."""
 
@@ -109,6 +119,42 @@
     assert Explorer(bounds, replica_type).explore().broken
 
 
+class SyncsNothing(Explored):
+    """A backup that acknowledges what it has not written."""
+
+    def _on_replication(self, sender, message):
+        if isinstance(message, Append) and message.epoch == self.record.epoch:
+            self.outbox.send(sender.host, Appended(message.epoch, message.sequence))
+            return
+        super()._on_replication(sender, message)
+
+
+class KeepsIdentity(Explored):
+    """A machine that lost its disk and votes under its earlier identity."""
+
+    def __init__(self, info, durable, *arguments):
+        super().__init__(msgspec.structs.replace(info, replica_id=f"{info.host}-seed"), durable, *arguments)
+
+
+# Faults found within each of the large bounds (one election, one order and one loss), or in the part of one
+# without an order.
+PROPERTIES = {
+    "one record an epoch, drops": (DecidesAlone, Bounds(elections=1, orders=0, drops=1)),
+    "one record an epoch, leaves": (DecidesAlone, Bounds(elections=1, orders=0, leaves=1)),
+    "one actor an epoch, lost disks": (KeepsIdentity, Bounds(elections=1, orders=0, wipes=1)),
+}
+for _name, _losses in (("lost disks", {"wipes": 1}), ("drops", {"drops": 1}), ("leaves", {"leaves": 1})):
+    _bounds = Bounds(elections=1, orders=1, **_losses)
+    PROPERTIES[f"acknowledged orders stay, {_name}"] = (CommitsAlone, _bounds)
+    PROPERTIES[f"acknowledged orders are on the disks, {_name}"] = (SyncsNothing, _bounds)
+
+
+@pytest.mark.parametrize(("replica_type", "bounds"), PROPERTIES.values(), ids=PROPERTIES)
+def test_a_planted_fault_shows_within_each_large_bound(replica_type, bounds):
+    bounds = Bounds(**{**vars(bounds), "states": 400_000})
+    assert VectorExplorer(bounds, replica_type).explore(MOST_MEMORY_MB).broken
+
+
 def test_a_number_of_voters_that_stays_even_shows(monkeypatch):
     monkeypatch.setattr(composition, "_without_spare", lambda voters, *others: tuple(voters))
     bounds = Bounds(elections=0, orders=0, leaves=1, count=4, states=30_000)
