--- a/src/nettledeal/admin_orders.py
+++ b/src/nettledeal/admin_orders.py
@@ -18,7 +18,11 @@
 
 class AdminOrders:
     def __init__(
-        self, router: Router, listener: Listener, siblings: Siblings, peers: Peers | None,
+        self,
+        router: Router,
+        listener: Listener,
+        siblings: Siblings,
+        peers: Peers | None,
         stopping: Callable[[], bool],
     ):
         self.router, self.listener, self.siblings, self.peers = router, listener, siblings, peers
--- a/src/nettledeal/agent.py
+++ b/src/nettledeal/agent.py
@@ -68,7 +68,12 @@
         self.within = within = self._within(1)
         connect_within = config.setting("allowed.connect_timeout")
         self.pools = Pools(
-            self.clock, self.counters, within.backends, within.answers, config.longest, connect_within,
+            self.clock,
+            self.counters,
+            within.backends,
+            within.answers,
+            config.longest,
+            connect_within,
             config.setting("allowed.conn_idle"),
         )
         categories = config.numbers("categories")
@@ -89,8 +94,13 @@
         self.siblings.attach(self.router)
         self.known = self._known()
         self.discovery_watch = DiscoveryWatch(
-            config.discovery, Random(config.seed + 1), self.counters, self.catalogue, self.router.news,
-            self.router.lost, self.known.base if self.known else None,
+            config.discovery,
+            Random(config.seed + 1),
+            self.counters,
+            self.catalogue,
+            self.router.news,
+            self.router.lost,
+            self.known.base if self.known else None,
         )
         self.listener = self._listener(within)
         self.pools.crowded = lambda: self.listener.crowded
@@ -101,8 +111,12 @@
 
     def _within(self, processes: int) -> Shares:
         config = self.config
-        return shares(config.sockets // processes, config.memory_mb // processes, config.admin is not None,
-                      config.membership is not None)
+        return shares(
+            config.sockets // processes,
+            config.memory_mb // processes,
+            config.admin is not None,
+            config.membership is not None,
+        )
 
     def _share(self, processes: int) -> None:
         """So many processes are this agent from here on, and divide what it may hold."""
@@ -113,8 +127,15 @@
         for _ in range(int(BIND_WITHIN / 0.1) + 1):
             try:
                 return Listener(
-                    self.config.listen, self.clock, self.counters, within.clients, within.requests,
-                    self.router.offer, self.router.gone, self.router.overdue, self.config.longest,
+                    self.config.listen,
+                    self.clock,
+                    self.counters,
+                    within.clients,
+                    within.requests,
+                    self.router.offer,
+                    self.router.gone,
+                    self.router.overdue,
+                    self.config.longest,
                 )
             except OSError as fault:
                 why = fault.strerror
@@ -140,8 +161,14 @@
         from nettledeal.peers import Peers
 
         return Peers(
-            config.membership, config.name, config.settings.get("zone", 0), config.seed + 2, self.clock,
-            self.counters, self.router, self.siblings.heard_of,
+            config.membership,
+            config.name,
+            config.settings.get("zone", 0),
+            config.seed + 2,
+            self.clock,
+            self.counters,
+            self.router,
+            self.siblings.heard_of,
         )
 
     def _subscribe(self) -> None:
@@ -262,4 +289,3 @@
         return 2
     agent.run()
     return 0
-
--- a/src/nettledeal/cli.py
+++ b/src/nettledeal/cli.py
@@ -158,8 +158,14 @@
 @click.option("--runs", type=click.IntRange(1, 100), default=1, help="So many seeds, from that one on.")
 @click.option("--json", "as_json", is_flag=True, help="Print the result as one JSON object.")
 def run(
-    file: Path, out: Path | None, beside: tuple[str, ...], policies: str | None, agents: int | None,
-    seed: int | None, runs: int, as_json: bool,
+    file: Path,
+    out: Path | None,
+    beside: tuple[str, ...],
+    policies: str | None,
+    agents: int | None,
+    seed: int | None,
+    runs: int,
+    as_json: bool,
 ) -> int:
     """Play the experiment FILE and say what came of it; exit status 1 where a rule was broken.
 
@@ -182,8 +188,13 @@
 @fleet.command()
 @click.option("--members", "count", type=click.IntRange(4, 1000), default=20, show_default=True)
 @click.option("--loss", type=click.FloatRange(0, 0.9), default=0.2, show_default=True, help="Of datagrams.")
-@click.option("--pause", type=click.FloatRange(0, 60), default=5.0, show_default=True,
-              help="Seconds for which a third after another is stopped; 0 none.")
+@click.option(
+    "--pause",
+    type=click.FloatRange(0, 60),
+    default=5.0,
+    show_default=True,
+    help="Seconds for which a third after another is stopped; 0 none.",
+)
 @click.option("--minutes", type=click.FloatRange(0, 120), default=1.0, show_default=True)
 @click.option("--deaths", type=click.IntRange(0, 50), default=3, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="Print the figures as one JSON object.")
@@ -198,7 +209,11 @@
 
     try:
         found = membership_trial.measure(
-            count, loss=loss, pause=pause, minutes=minutes, deaths=deaths,
+            count,
+            loss=loss,
+            pause=pause,
+            minutes=minutes,
+            deaths=deaths,
             progress=lambda what: click.echo(what, err=True),
         )
     except Broken as fault:
--- a/src/nettledeal/deployment_settings.py
+++ b/src/nettledeal/deployment_settings.py
@@ -11,14 +11,29 @@
 
 # What a setting must be, where the agent or the module would stumble over anything else.
 _WHOLE = ("balancers", "me", "zone", "allowed.most_hand_offs", "allowed.max_open")
-_NUMBERS = ("rules.overload_factor", "rules.cold_from", "surplus_payoff", "tariffs.probe",
-            "tariffs.cross_zone", "tariffs.connection")
+_NUMBERS = (
+    "rules.overload_factor",
+    "rules.cold_from",
+    "surplus_payoff",
+    "tariffs.probe",
+    "tariffs.cross_zone",
+    "tariffs.connection",
+)
 # The same by group and last part of the name, as these have a number between.
 _MANY = (("categories", "payoff"), ("categories", "overdue_payoff"), ("projects", "share"))
-_MODES = {"discovery": ("pushed", "on_request"), "payoff_by": ("request", "work"),
-          "feedback.via": ("piggyback", "pull", "silent"), "weights": ("nominal", "rough", "live", "silent")}
-_FLAGS = ("allowed.may_duplicate", "allowed.cancelling", "allowed.probes", "allowed.retry_after",
-          "family_info.warm_keys")
+_MODES = {
+    "discovery": ("pushed", "on_request"),
+    "payoff_by": ("request", "work"),
+    "feedback.via": ("piggyback", "pull", "silent"),
+    "weights": ("nominal", "rough", "live", "silent"),
+}
+_FLAGS = (
+    "allowed.may_duplicate",
+    "allowed.cancelling",
+    "allowed.probes",
+    "allowed.retry_after",
+    "family_info.warm_keys",
+)
 _GROUPS = ("all", "zone", "cell")
 
 
--- a/src/nettledeal/fleet/agents.py
+++ b/src/nettledeal/fleet/agents.py
@@ -24,9 +24,7 @@
 
 
 class Agents:
-    def __init__(
-        self, experiment: Experiment, told: Configurations, site: Site, tree: Path, folder: Path
-    ):
+    def __init__(self, experiment: Experiment, told: Configurations, site: Site, tree: Path, folder: Path):
         """`tree` holds the source that they run."""
         self.experiment, self.told, self.site = experiment, told, site
         self.tree, self.folder = tree, folder
@@ -39,8 +37,11 @@
     def start_all(self, progress: Callable[[str, float], None]) -> None:
         e = self.experiment
         # Or each of them would compile all of it anew; a tree that is read-only has it already, or is slow.
-        subprocess.call([sys.executable, "-O", "-m", "compileall", "-q", str(self.tree)],
-                        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        subprocess.call(
+            [sys.executable, "-O", "-m", "compileall", "-q", str(self.tree)],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
         for n in range(e.agents.count):
             self._start(n)
             progress("starting agents", n / e.agents.count)
@@ -64,10 +65,18 @@
         file.write_bytes(msgspec.json.encode(self.told.agent(n, self.starts[n])))
         with (self.folder / f"agent-{n}.log").open("ab") as log:
             self.processes[n] = subprocess.Popen(
-                [sys.executable, "-O", "-m", "nettledeal"], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                env={"PATH": os.environ.get("PATH", ""), "PYTHONPATH": str(self.tree), "TMPDIR": str(home),
-                     "EDGE_CONFIG": str(file)},
-                preexec_fn=bound_to_parent, start_new_session=True,
+                [sys.executable, "-O", "-m", "nettledeal"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={
+                    "PATH": os.environ.get("PATH", ""),
+                    "PYTHONPATH": str(self.tree),
+                    "TMPDIR": str(home),
+                    "EDGE_CONFIG": str(file),
+                },
+                preexec_fn=bound_to_parent,
+                start_new_session=True,
             )
 
     def serves(self, n: int) -> bool:
--- a/src/nettledeal/fleet/backends.py
+++ b/src/nettledeal/fleet/backends.py
@@ -39,8 +39,16 @@
     def _server(self, started: int) -> Server:
         told = self.told
         return Server(
-            told["cores"], told["speed"], told["queue"], told["report_every"], told["report_lag"],
-            told["cold_from"], told["warm_within"], told["push"], told["push_for"], self.chance,
+            told["cores"],
+            told["speed"],
+            told["queue"],
+            told["report_every"],
+            told["report_lag"],
+            told["cold_from"],
+            told["warm_within"],
+            told["push"],
+            told["push_for"],
+            self.chance,
             started=started,
         )
 
--- a/src/nettledeal/fleet/checker.py
+++ b/src/nettledeal/fleet/checker.py
@@ -68,8 +68,12 @@
 
 
 def check(
-    experiment: Experiment, records: dict[str, list], harm: Sequence[Sequence], grace: Time,
-    slack: Time = SLACK, waits: ProcessorWaits | None = None,
+    experiment: Experiment,
+    records: dict[str, list],
+    harm: Sequence[Sequence],
+    grace: Time,
+    slack: Time = SLACK,
+    waits: ProcessorWaits | None = None,
 ) -> dict[str, list[str]]:
     """Findings by rule; `grace` on drains in tenths of a millisecond, `harm` as (agent, from, until)."""
     waits = waits or ProcessorWaits()
--- a/src/nettledeal/fleet/configurations.py
+++ b/src/nettledeal/fleet/configurations.py
@@ -33,17 +33,27 @@
         """Of the process numbered `p` that plays stand-in backends."""
         b = self.experiment.backends
         return {
-            "backends": [self._backend(n) for n in range(p, b.count, b.processes)], "held": str(self.held)
+            "backends": [self._backend(n) for n in range(p, b.count, b.processes)],
+            "held": str(self.held),
         }
 
     def _backend(self, n: int) -> dict[str, Any]:
         e, b = self.experiment, self.experiment.backends
         return {
-            "number": n, "place": [self.site.backend(n), BACKEND_PORT], "seed": e.seed, "cores": b.cores,
-            "speed": self.speed(n), "queue": b.queue, "places": b.places, "push": b.push,
-            "report_every": max(1, round(b.report_every * SECOND)), "cold": n in self.cold,
-            "report_lag": round(b.report_lag * SECOND), "cold_from": b.cold_from,
-            "warm_within": round(b.warm_within * SECOND), "push_for": round(b.push_for * SECOND),
+            "number": n,
+            "place": [self.site.backend(n), BACKEND_PORT],
+            "seed": e.seed,
+            "cores": b.cores,
+            "speed": self.speed(n),
+            "queue": b.queue,
+            "places": b.places,
+            "push": b.push,
+            "report_every": max(1, round(b.report_every * SECOND)),
+            "cold": n in self.cold,
+            "report_lag": round(b.report_lag * SECOND),
+            "cold_from": b.cold_from,
+            "warm_within": round(b.warm_within * SECOND),
+            "push_for": round(b.push_for * SECOND),
         }
 
     def roster(self) -> dict[str, Any]:
@@ -51,7 +61,8 @@
         e = self.experiment
         agents = range(e.agents.count if self.policy is None else 0)
         return {
-            "lag": e.list.lag, "seed": f"{e.seed} list",
+            "lag": e.list.lag,
+            "seed": f"{e.seed} list",
             "entries": [self.entry(n) for n in range(e.backends.count)],
             "agents": [[n, [self.site.agent(n), LIST_PORT], self.script.ways[n]] for n in agents],
         }
@@ -60,14 +71,18 @@
         """Of the process numbered `p` that plays clients, or a baseline in their place."""
         e = self.experiment
         return {
-            "policy": self.policy, "seed": f"{e.seed} {p}", "held": str(self.held),
+            "policy": self.policy,
+            "seed": f"{e.seed} {p}",
+            "held": str(self.held),
             "asks": [
                 [ask.at, ask.agent, ask.category, ask.work, ask.id]
-                for ask in asks if ask.agent % e.clients.processes == p
+                for ask in asks
+                if ask.agent % e.clients.processes == p
             ],
             "agents": {
                 str(n): [self.site.agent(n), PORT]
-                for n in range(e.agents.count) if n % e.clients.processes == p
+                for n in range(e.agents.count)
+                if n % e.clients.processes == p
             },
             "backends": [[self.site.backend(n), BACKEND_PORT] for n in range(e.backends.count)],
             "categories": [
@@ -79,7 +94,8 @@
         """Of the switch: by way and backend, where it is reached and where it is."""
         return [
             [way, n, [self.site.backend(n), BACKEND_PORT + way], [self.site.backend(n), BACKEND_PORT]]
-            for way in sorted(set(self.script.ways) - {0}) for n in range(self.experiment.backends.count)
+            for way in sorted(set(self.script.ways) - {0})
+            for n in range(self.experiment.backends.count)
         ]
 
     def members(self) -> list[list]:
@@ -93,8 +109,11 @@
         if started is None:
             started = int(time.time() * 1000) if n in self.cold else 0
         return {
-            "id": self.names[n], "place": [self.site.backend(n), BACKEND_PORT], "lifecycle": lifecycle,
-            "zone": f"z{self.script.zones['backends'][n]}", "started": started,
+            "id": self.names[n],
+            "place": [self.site.backend(n), BACKEND_PORT],
+            "lifecycle": lifecycle,
+            "zone": f"z{self.script.zones['backends'][n]}",
+            "started": started,
             "kind": f"k{n % len(self.experiment.backends.speeds)}",
         }
 
@@ -105,33 +124,55 @@
         seed = Random(f"{e.seed} agent {n} {starts}").getrandbits(64)
         reached = self.site.front if self.switched else self.site.agent
         together = {
-            "listen": f"{self.site.agent(n)}:{TALK_PORT}", "advertise": f"{reached(n)}:{TALK_PORT}",
+            "listen": f"{self.site.agent(n)}:{TALK_PORT}",
+            "advertise": f"{reached(n)}:{TALK_PORT}",
             "seeds": [f"{reached(seed)}:{TALK_PORT}" for seed in range(min(SEEDS, a.count))],
         }
         return ({"membership": together} if a.together else {}) | {
-            "name": f"a{n}", "listen": f"{self.site.agent(n)}:{PORT}", "seed": f"{seed:x}",
-            "discovery": f"{self.site.agent(n)}:{LIST_PORT}", "log_level": "info",
+            "name": f"a{n}",
+            "listen": f"{self.site.agent(n)}:{PORT}",
+            "seed": f"{seed:x}",
+            "discovery": f"{self.site.agent(n)}:{LIST_PORT}",
+            "log_level": "info",
             "admin_addr": f"{self.site.agent(n)}:{DOOR_PORT}",
             "limits": {"memory_mb": a.memory_mb, "sockets": a.sockets},
             "settings": {
-                "balancers": a.count, "me": n, "zone": self.script.zones["agents"][n],
-                "zones": [f"z{z}" for z in zones], "kinds": [f"k{k}" for k in range(len(b.speeds))],
-                "resolution": millisecond, "discovery": "pushed", "payoff_by": "request",
+                "balancers": a.count,
+                "me": n,
+                "zone": self.script.zones["agents"][n],
+                "zones": [f"z{z}" for z in zones],
+                "kinds": [f"k{k}" for k in range(len(b.speeds))],
+                "resolution": millisecond,
+                "discovery": "pushed",
+                "payoff_by": "request",
                 "feedback": {"via": "piggyback", "fields": ["outstanding", "backlog"]},
                 "allowed": {
-                    "cancelling": True, "conn_idle": 60_000 * millisecond, "max_open": 10_000,
-                    "connect_timeout": 250 * millisecond, "max_retry_after": 2000 * millisecond,
-                    "may_duplicate": False, "most_hand_offs": 4, "probes": a.probes, "retry_after": True,
+                    "cancelling": True,
+                    "conn_idle": 60_000 * millisecond,
+                    "max_open": 10_000,
+                    "connect_timeout": 250 * millisecond,
+                    "max_retry_after": 2000 * millisecond,
+                    "may_duplicate": False,
+                    "most_hand_offs": 4,
+                    "probes": a.probes,
+                    "retry_after": True,
                 },
                 "rules": {
-                    "cold_from": b.cold_from, "drain_grace": GRACE_MS * millisecond,
-                    "overload_factor": b.push, "tip_after": round(b.push_for * 1000) * millisecond,
+                    "cold_from": b.cold_from,
+                    "drain_grace": GRACE_MS * millisecond,
+                    "overload_factor": b.push,
+                    "tip_after": round(b.push_for * 1000) * millisecond,
                     "warm_within": round(b.warm_within * 1000) * millisecond,
                 },
                 "tariffs": {"connection": a.connection_price, "cross_zone": 0.005, "probe": a.probe_price},
                 "categories": [
-                    {"name": c.name, "effect": c.effect, "due_time": round(c.due_ms * millisecond),
-                     "expiry": round(c.expiry_ms * millisecond), "payoff": c.payoff}
+                    {
+                        "name": c.name,
+                        "effect": c.effect,
+                        "due_time": round(c.due_ms * millisecond),
+                        "expiry": round(c.expiry_ms * millisecond),
+                        "payoff": c.payoff,
+                    }
                     for c in e.category
                 ],
             },
--- a/src/nettledeal/fleet/faults.py
+++ b/src/nettledeal/fleet/faults.py
@@ -21,7 +21,11 @@
 
 class Faults:
     def __init__(
-        self, script: Script, told: Configurations, agents: Agents, helpers: Mapping[str, Helper],
+        self,
+        script: Script,
+        told: Configurations,
+        agents: Agents,
+        helpers: Mapping[str, Helper],
         policy: str | None,
     ):
         """`helpers` are the rig's own processes by their role, `policy` a baseline in the agents' place."""
@@ -57,13 +61,16 @@
                 groups = {self.script.ways[n] for n in act.who}
                 condition = msgspec.to_builtins(act.condition)
                 self.helpers["switch"].ask(
-                    do="links", way=act.verb[5:], condition=condition,
+                    do="links",
+                    way=act.verb[5:],
+                    condition=condition,
                     fronts=[[way, n] for way in groups for n in act.others],
                 )
             case "talk there" | "talk back":
                 pairs = [[n, other] for n in act.who for other in act.others]
                 self.helpers["switch"].ask(
-                    do="member links", condition=msgspec.to_builtins(act.condition),
+                    do="member links",
+                    condition=msgspec.to_builtins(act.condition),
                     pairs=pairs if act.verb == "talk there" else [pair[::-1] for pair in pairs],
                 )
             case "list_late" | "list_deaf":
--- a/src/nettledeal/fleet/member_processes.py
+++ b/src/nettledeal/fleet/member_processes.py
@@ -35,9 +35,13 @@
         # One for each line told, in that order, as each is answered by one line; None where nobody waits.
         self.answers: deque[AsyncResult | None] = deque()
         self.process = subprocess.Popen(
-            [sys.executable, "-O", "-m", "nettledeal.membership"], stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE, stderr=log.open("ab"), env=os.environ | {"PYTHONPATH": str(tree)},
-            preexec_fn=bound_to_parent, start_new_session=True,
+            [sys.executable, "-O", "-m", "nettledeal.membership"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=log.open("ab"),
+            env=os.environ | {"PYTHONPATH": str(tree)},
+            preexec_fn=bound_to_parent,
+            start_new_session=True,
         )
         self._say(msgspec.json.encode(told))
         gevent.spawn(self._hear)
@@ -74,7 +78,12 @@
     """So many members, numbered; the first `seeds` of them are called by those that join."""
 
     def __init__(
-        self, count: int, timing: dict[str, int], seeds: int = 1, tree: Path = SOURCE, switched: bool = True,
+        self,
+        count: int,
+        timing: dict[str, int],
+        seeds: int = 1,
+        tree: Path = SOURCE,
+        switched: bool = True,
         seed: str = "band",
     ):
         self.count, self.timing, self.seeds, self.tree = count, timing, seeds, tree
@@ -87,9 +96,9 @@
         if switched:
             self.switch = Helper("switch", {"seed": f"{seed} switch"}, Path(self.folder.name))
             self.switch.answer()
-            self.switch.ask(do="members", members=[
-                [n, list(self.front(n)), list(self.place(n))] for n in range(count)
-            ])
+            self.switch.ask(
+                do="members", members=[[n, list(self.front(n)), list(self.place(n))] for n in range(count)]
+            )
 
     def __enter__(self) -> MemberProcesses:
         return self
@@ -120,10 +129,16 @@
             host, port = self.place(n)
             self.processes[n] = MemberProcess(
                 {
-                    "name": f"m{n}", "listen": f"{host}:{port}", "timing": self.timing,
-                    "advertise": "{}:{}".format(*self.front(n)), "seed": hash_of(f"{self.seed} {n}"),
+                    "name": f"m{n}",
+                    "listen": f"{host}:{port}",
+                    "timing": self.timing,
+                    "advertise": "{}:{}".format(*self.front(n)),
+                    "seed": hash_of(f"{self.seed} {n}"),
                     "seeds": ["{}:{}".format(*self.front(s)) for s in range(self.seeds)],
-                } | told, self.tree, Path(self.folder.name) / f"m{n}.log",
+                }
+                | told,
+                self.tree,
+                Path(self.folder.name) / f"m{n}.log",
             )
 
     def kill(self, who: Iterable[int]) -> None:
@@ -187,7 +202,9 @@
         """Each change to that state by now: when, at whom, of whom."""
         lives = [*self.ended, *self.processes.items()]
         return sorted(
-            (at, n, said["member"]) for n, life in lives for at, said in life.changes
+            (at, n, said["member"])
+            for n, life in lives
+            for at, said in life.changes
             if said["said"] == "changed" and said["state"] == state
         )
 
--- a/src/nettledeal/fleet/processes.py
+++ b/src/nettledeal/fleet/processes.py
@@ -36,8 +36,12 @@
         self.log = (folder / f"{role}.log").open("ab")
         self.process = subprocess.Popen(
             [sys.executable, "-O", "-m", "nettledeal.fleet", role.partition("-")[0]],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=self.log,
-            env=os.environ | {"PYTHONPATH": str(SOURCE)}, preexec_fn=bound_to_parent, start_new_session=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=self.log,
+            env=os.environ | {"PYTHONPATH": str(SOURCE)},
+            preexec_fn=bound_to_parent,
+            start_new_session=True,
         )
         self.said: Queue = Queue()
         self.through = Event()
--- a/src/nettledeal/fleet/roster.py
+++ b/src/nettledeal/fleet/roster.py
@@ -41,7 +41,8 @@
     def _line(self, after: int | None) -> bytes:
         """What changed after that version, as far as this agent may know; all of it without."""
         known = [
-            entry for entry in self.roster.entries.values()
+            entry
+            for entry in self.roster.entries.values()
             if (after is None or entry["version"] > after) and entry["first"] <= self.version
         ]
         listed = []
@@ -53,11 +54,18 @@
             if after is None and state[1] == "gone":
                 continue
             host, port = entry["place"]
-            listed.append({
-                "instanceId": entry["id"], "hostPort": f"{host}:{port + self.ports}",
-                "zone": entry["zone"], "machineType": entry["kind"], "cell": 0, "lifecycle": state[1],
-                "weight": 1.0, "startedAtMs": state[2],
-            })
+            listed.append(
+                {
+                    "instanceId": entry["id"],
+                    "hostPort": f"{host}:{port + self.ports}",
+                    "zone": entry["zone"],
+                    "machineType": entry["kind"],
+                    "cell": 0,
+                    "lifecycle": state[1],
+                    "weight": 1.0,
+                    "startedAtMs": state[2],
+                }
+            )
         told = [(entry["instanceId"], entry["lifecycle"]) for entry in listed]
         if told:
             self.roster.post.records.append((now(), self.agent, self.version, told))
@@ -101,9 +109,7 @@
         self.entries: dict[str, dict] = {}
         for entry in told["entries"]:
             self._put(entry)
-        self.ears = [
-            Ear(agent, tuple(place), ports, self) for agent, place, ports in told["agents"]
-        ]
+        self.ears = [Ear(agent, tuple(place), ports, self) for agent, place, ports in told["agents"]]
 
     def _put(self, entry: dict) -> None:
         kept = self.entries.setdefault(
--- a/src/nettledeal/fleet/script.py
+++ b/src/nettledeal/fleet/script.py
@@ -15,8 +15,16 @@
 from nettledeal.model import Time
 
 # What is the usual figure of each trouble that has one.
-USUAL = {"slow": 1.0, "errors": 0.0, "lost": 0.0, "late_reports": 0.0, "false_reports": 1.0, "hang": False,
-         "list_late": 0.0, "list_deaf": False}
+USUAL = {
+    "slow": 1.0,
+    "errors": 0.0,
+    "lost": 0.0,
+    "late_reports": 0.0,
+    "false_reports": 1.0,
+    "hang": False,
+    "list_late": 0.0,
+    "list_deaf": False,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,20 +118,36 @@
             else:
                 others = tuple(n for n in range(experiment.agents.count) if n not in who)
             condition = Condition(
-                cut=trouble.cut, silent=trouble.silent, delay=round(trouble.delay_ms * 10),
-                jitter=round(trouble.jitter_ms * 10), loss=trouble.loss, repeats=trouble.repeats,
+                cut=trouble.cut,
+                silent=trouble.silent,
+                delay=round(trouble.delay_ms * 10),
+                jitter=round(trouble.jitter_ms * 10),
+                loss=trouble.loss,
+                repeats=trouble.repeats,
                 reordering=trouble.reordering,
             )
             ways = ("there", "back") if trouble.way == "both" else (trouble.way,)
             return [
-                Act(when, f"{trouble.kind} {way}", who, condition=what, others=others,
-                    label=name if not n else "")
+                Act(
+                    when,
+                    f"{trouble.kind} {way}",
+                    who,
+                    condition=what,
+                    others=others,
+                    label=name if not n else "",
+                )
                 for n, way in enumerate(ways)
                 for when, what, name in ((at, condition, label), (until, Condition(), "links whole"))
                 if when
             ]
-    given = {"slow": trouble.times, "false_reports": trouble.times, "errors": trouble.chance,
-             "lost": trouble.chance, "late_reports": trouble.by, "list_late": trouble.by}
+    given = {
+        "slow": trouble.times,
+        "false_reports": trouble.times,
+        "errors": trouble.chance,
+        "lost": trouble.chance,
+        "late_reports": trouble.by,
+        "list_late": trouble.by,
+    }
     acts = [Act(at, trouble.kind, who, given.get(trouble.kind, True), label=label)]
     return acts + ([Act(until, trouble.kind, who, USUAL[trouble.kind], label="over")] if until else [])
 
--- a/src/nettledeal/fleet/switch.py
+++ b/src/nettledeal/fleet/switch.py
@@ -27,9 +27,7 @@
 class Stream:
     """One direction of one connection, handed on in order and in time."""
 
-    def __init__(
-        self, way: Way, back: Way, source: socket.socket, sink: socket.socket, broken: AsyncResult
-    ):
+    def __init__(self, way: Way, back: Way, source: socket.socket, sink: socket.socket, broken: AsyncResult):
         self.way, self.back, self.source, self.sink, self.broken = way, back, source, sink, broken
         self.waiting: deque[tuple[int | None, bytes]] = deque()
         self.size = 0
--- a/src/nettledeal/handover.py
+++ b/src/nettledeal/handover.py
@@ -56,7 +56,8 @@
         by backend, and whether each takes it out of service."""
         me = self.me
         self.others = [
-            other for other in live
+            other
+            for other in live
             if other.id != me.id and (other.agent, other.listen) == (me.agent, me.listen)
         ]
         todo = {}
@@ -83,9 +84,7 @@
 
     def confirmed(self, at: int) -> bool:
         """Whether an order of that time is in force in all processes that can tell."""
-        return all(
-            other.heard.get(self.me.id, 0) >= at for other in self.others if other.version <= VERSION
-        )
+        return all(other.heard.get(self.me.id, 0) >= at for other in self.others if other.version <= VERSION)
 
     @property
     def processes(self) -> int:
--- a/src/nettledeal/learned_state.py
+++ b/src/nettledeal/learned_state.py
@@ -74,9 +74,7 @@
     learned of that goes on in proportion, where other settings would have it begin afresh."""
     state, admission = balancer.state, balancer.admission
     part = state.fleet / agents
-    balancer.retune(
-        now, {**state.settings, "balancers": agents, "me": number, "dealt": ",".join(dealt)}
-    )
+    balancer.retune(now, {**state.settings, "balancers": agents, "me": number, "dealt": ",".join(dealt)})
     admission.limit, admission.safe = part * admission.limit, part * admission.safe
 
 
--- a/src/nettledeal/membership/__main__.py
+++ b/src/nettledeal/membership/__main__.py
@@ -46,8 +46,14 @@
 def heard(act: Changed | Ordered | Usurped) -> None:
     if isinstance(act, Changed):
         word = act.word
-        say(said="changed", member=word.name, state=spoken(word.state), by=word.by, life=word.life,
-            before=None if act.before is None else spoken(act.before))
+        say(
+            said="changed",
+            member=word.name,
+            state=spoken(word.state),
+            by=word.by,
+            life=word.life,
+            before=None if act.before is None else spoken(act.before),
+        )
     elif isinstance(act, Ordered):
         say(said="ordered", subject=act.order.subject, out=act.order.out)
     else:
@@ -78,8 +84,14 @@
     clock.offset += int(told.ahead * 1e9)
     listen = parsed(told.listen)
     member = Member(
-        told.name, parsed(told.advertise or told.listen), told.cluster, map(parsed, told.seeds),
-        Timing(**told.timing), Random(told.seed), clock.now(), told.place,
+        told.name,
+        parsed(told.advertise or told.listen),
+        told.cluster,
+        map(parsed, told.seeds),
+        Timing(**told.timing),
+        Random(told.seed),
+        clock.now(),
+        told.place,
     )
     host = Lossy(member, listen, clock.now, heard, lambda what: counts.update([what]), structlog.get_logger())
     host.start()
@@ -92,14 +104,31 @@
                     for w in sorted([*member.view.words.values(), member.me], key=lambda w: w.name)
                 ]
                 health = msgspec.to_builtins(member.health)
-                say(said="members", members=words, joined=member.joined, health=health, counts=counts,
-                    orders={o.subject: o.out for o in member.view.orders.values()}, silent=member.silent,
-                    sent=host.sent, bytes=host.bytes, cpu=time.process_time())
+                say(
+                    said="members",
+                    members=words,
+                    joined=member.joined,
+                    health=health,
+                    counts=counts,
+                    orders={o.subject: o.out for o in member.view.orders.values()},
+                    silent=member.silent,
+                    sent=host.sent,
+                    bytes=host.bytes,
+                    cpu=time.process_time(),
+                )
             case "digest":
                 # Equal views have equal digests, for groups whose views are too long to compare.
                 view = str(sorted((w.name, w.life, int(w.state)) for w in member.live()))
-                say(said="digest", live=len(member.live()), digest=crc32(view.encode()), joined=member.joined,
-                    sent=host.sent, bytes=host.bytes, cpu=time.process_time(), health=member.health)
+                say(
+                    said="digest",
+                    live=len(member.live()),
+                    digest=crc32(view.encode()),
+                    joined=member.joined,
+                    sent=host.sent,
+                    bytes=host.bytes,
+                    cpu=time.process_time(),
+                    health=member.health,
+                )
             case "order":
                 host.order(rest[0], rest[1] == "out")
                 say(said="done")
--- a/src/nettledeal/membership/baselines.py
+++ b/src/nettledeal/membership/baselines.py
@@ -73,7 +73,14 @@
 
 
 def compare(
-    name: str, *, count: int, loss: float, pause: float, minutes: float, deaths: int, seed: int = 1,
+    name: str,
+    *,
+    count: int,
+    loss: float,
+    pause: float,
+    minutes: float,
+    deaths: int,
+    seed: int = 1,
     timing: Timing | None = None,
 ) -> dict[str, Any]:
     """Figures of one build under the same weather, pauses and deaths as the others of that seed;
@@ -104,8 +111,10 @@
     rehearsal.run(until + 15 * SECOND)
     told = [(at, change.word) for at, _, change in rehearsal.changes if at >= since]
     wronged = {
-        (word.name, word.incarnation) for at, word in told
-        if word.state == State.SUSPECT and at < until
+        (word.name, word.incarnation)
+        for at, word in told
+        if word.state == State.SUSPECT
+        and at < until
         and not any(a <= at <= b + 2 * SECOND and word.name in who for a, b, who in away)
     }
     killed = {(word.name, word.life, word.incarnation) for _, word in told if word.state == State.DEAD}
@@ -115,8 +124,11 @@
         rehearsal.crash(n)
         rehearsal.run(at + 25 * SECOND)
         times += [
-            (when - at) / SECOND for when, who, change in rehearsal.changes
-            if when >= at and change.word.name == f"m{n}" and change.word.state == State.DEAD
+            (when - at) / SECOND
+            for when, who, change in rehearsal.changes
+            if when >= at
+            and change.word.name == f"m{n}"
+            and change.word.state == State.DEAD
             and rehearsal.nodes[who].member is not None
         ]
     times.sort()
--- a/src/nettledeal/membership/dissemination.py
+++ b/src/nettledeal/membership/dissemination.py
@@ -72,9 +72,12 @@
         known = self.view.words.get(word.name)
         before = known.state if known is not None and known.life == word.life else None
         if self.view.merge(word, self.now) is None:
-            if known is not None and word.state == State.SUSPECT and identity(known) == identity(word) and (
-                known.state, known.incarnation
-            ) == (word.state, word.incarnation):
+            if (
+                known is not None
+                and word.state == State.SUSPECT
+                and identity(known) == identity(word)
+                and (known.state, known.incarnation) == (word.state, word.incarnation)
+            ):
                 self._confirm(word)
             return
         if said:
--- a/src/nettledeal/membership/host.py
+++ b/src/nettledeal/membership/host.py
@@ -40,8 +40,14 @@
 
 class Host:
     def __init__(
-        self, member: Member, listen: Address, clock: Callable[[], Time], told: Callable[[Act], None],
-        count: Callable[[str], None], log: Any, streams: int = STREAMS,
+        self,
+        member: Member,
+        listen: Address,
+        clock: Callable[[], Time],
+        told: Callable[[Act], None],
+        count: Callable[[str], None],
+        log: Any,
+        streams: int = STREAMS,
     ):
         """`told` gets what changes, as `Changed`, `Ordered` and `Usurped`; `count` a name for what was
         counted; `log` takes an event and its fields at levels, as structlog's loggers do; `streams` is the
@@ -266,8 +272,15 @@
     def _say(self, word: Word, before: int | None) -> None:
         # What a newcomer is told of those that were there before it is no change.
         say = self.log.info if self.member.joined or before is not None else self.log.debug
-        say("member changed", member=word.name, at=written(word.address), state=spoken(word.state),
-            before=None if before is None else spoken(before), by=word.by, incarnation=word.incarnation)
+        say(
+            "member changed",
+            member=word.name,
+            at=written(word.address),
+            state=spoken(word.state),
+            before=None if before is None else spoken(before),
+            by=word.by,
+            incarnation=word.incarnation,
+        )
 
 
 def spoken(state: int) -> str:
--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -37,7 +37,8 @@
         self.swap_in = min(round(self.timing.swap * (1 + larger)), 2 * self.swap_in)
         self._at(self.now + self._some(self.swap_in), "swap")
         gone = [
-            word.name for word in self.view.words.values()
+            word.name
+            for word in self.view.words.values()
             if not word.live and self.now - self.view.since[word.name] > self.timing.keep
         ]
         self.view.drop(gone)
@@ -100,7 +101,8 @@
     def _whole(self, kind: str, number: int) -> Packet:
         # Those long dead are told no more, or they would be handed on for ever.
         young = [
-            word for word in self.view.words.values()
+            word
+            for word in self.view.words.values()
             if word.live or self.now - self.view.since[word.name] < self.timing.keep // 2
         ]
         return self._packet(kind, number, words=young, orders=list(self.view.orders.values()))
--- a/src/nettledeal/membership/machine.py
+++ b/src/nettledeal/membership/machine.py
@@ -25,8 +25,16 @@
     """State of one member. The parts of the protocol build on it; `Member` is the whole."""
 
     def __init__(
-        self, name: str, address: Address, cluster: str, seeds: Iterable[Address], timing: Timing,
-        chance: Random, now: Time, place: int = 0, codec: Codec | None = None,
+        self,
+        name: str,
+        address: Address,
+        cluster: str,
+        seeds: Iterable[Address],
+        timing: Timing,
+        chance: Random,
+        now: Time,
+        place: int = 0,
+        codec: Codec | None = None,
         metadata: Metadata | None = None,
     ):
         self.codec = codec or MsgpackCodec()
@@ -93,7 +101,11 @@
         return list(found.values())
 
     def _packet(
-        self, kind: str, number: int, target: Word | None = None, words: Iterable[Word] = (),
+        self,
+        kind: str,
+        number: int,
+        target: Word | None = None,
+        words: Iterable[Word] = (),
         orders: Iterable[Order] = (),
     ) -> Packet:
         return Packet(VERSION, self.cluster, kind, number, self.me, target, list(words), list(orders))
@@ -103,7 +115,11 @@
         return word if word is not None and word.state != State.ALIVE else None
 
     def _send(
-        self, kind: str, address: Address, number: int = 0, target: Word | None = None,
+        self,
+        kind: str,
+        address: Address,
+        number: int = 0,
+        target: Word | None = None,
         about: Word | None = None,
     ) -> None:
         """With as much news as a datagram holds, and first of all what is said against the one it goes to."""
--- a/src/nettledeal/membership/member.py
+++ b/src/nettledeal/membership/member.py
@@ -172,7 +172,8 @@
             suspicion.delayed += late
         self.timers = sorted(
             (at + late, *rest) if rest[1] == "suspicion" else (at, *rest)
-            for at, *rest in self.timers if rest[1] not in ("late", "end", "relayed")
+            for at, *rest in self.timers
+            if rest[1] not in ("late", "end", "relayed")
         )
         # What has been said of it meanwhile comes soonest from a whole view.
         self._call_some(self.ring)
--- a/src/nettledeal/membership/pending.py
+++ b/src/nettledeal/membership/pending.py
@@ -39,5 +39,3 @@
         most = DOUBT * self.least
         part = log(len(self.by)) / log(self.needed + 1) if self.needed else 1.0
         return self.since + self.delayed + round(max(self.least, most - (most - self.least) * part))
-
-
--- a/src/nettledeal/membership/suspicion.py
+++ b/src/nettledeal/membership/suspicion.py
@@ -24,9 +24,7 @@
         others = len(self.ring)
         grown = max(1.0, log10(others + 2) / log10(SIZED_FOR))
         least = self.timing.suspicion * grown * (1 + self.health.ill / MOST_ILL)
-        self.suspicions[word.name] = Suspicion(
-            self.now, least, {word.by}, min(ACCUSERS, max(0, others - 2))
-        )
+        self.suspicions[word.name] = Suspicion(self.now, least, {word.by}, min(ACCUSERS, max(0, others - 2)))
         self._at(self.suspicions[word.name].end, "suspicion", word.name)
 
     def _confirm(self, word: Word) -> None:
--- a/src/nettledeal/membership/view.py
+++ b/src/nettledeal/membership/view.py
@@ -90,9 +90,13 @@
     """Whether it can be news: of a state and name there can be, and not from a time to come (`until`), which
     nothing that is true could ever overrule."""
     return (
-        0 < len(word.name) <= MOST_NAME and 0 < len(word.host) <= MOST_NAME and len(word.by) <= MOST_NAME
-        and 0 < word.port < 65536 and 0 <= word.life <= until
-        and 0 <= word.incarnation < MOST_INCARNATION and State.ALIVE <= word.state <= State.LEFT
+        0 < len(word.name) <= MOST_NAME
+        and 0 < len(word.host) <= MOST_NAME
+        and len(word.by) <= MOST_NAME
+        and 0 < word.port < 65536
+        and 0 <= word.life <= until
+        and 0 <= word.incarnation < MOST_INCARNATION
+        and State.ALIVE <= word.state <= State.LEFT
     )
 
 
--- a/src/nettledeal/membership_settings.py
+++ b/src/nettledeal/membership_settings.py
@@ -56,10 +56,20 @@
     if not 0 < len(told.cluster) <= 64:
         raise ConfigError("membership.cluster: a name has 1 to 64 characters")
     _check_times(told)
-    return MembershipSettings(listen, advertise, told.cluster, seeds, {
-        "period": told.period_ms * 10, "probe": told.probe_ms * 10, "suspicion": told.suspicion_ms * 10,
-        "spread": told.spread_ms * 10, "swap": told.swap_s * SECOND, "keep": told.keep_s * SECOND,
-    })
+    return MembershipSettings(
+        listen,
+        advertise,
+        told.cluster,
+        seeds,
+        {
+            "period": told.period_ms * 10,
+            "probe": told.probe_ms * 10,
+            "suspicion": told.suspicion_ms * 10,
+            "spread": told.spread_ms * 10,
+            "swap": told.swap_s * SECOND,
+            "keep": told.keep_s * SECOND,
+        },
+    )
 
 
 def _check_times(told: MembershipSection) -> None:
--- a/src/nettledeal/net/protocol/backend.py
+++ b/src/nettledeal/net/protocol/backend.py
@@ -133,7 +133,10 @@
 def hand_off(request: ClientRequest, time_out: Time) -> list[bytes | memoryview]:
     """A hand-off: its head, and the body as it came, or what has come of it so far."""
     head = b"%b %b HTTP/1.1\r\n%bX-Timeout-Ms: %d\r\n" % (
-        request.method, request.target, request.head, max(1, time_out // 10)
+        request.method,
+        request.target,
+        request.head,
+        max(1, time_out // 10),
     )
     body, length = [request.body], len(request.body)
     if request.upload is not None:
--- a/src/nettledeal/net/protocol/client.py
+++ b/src/nettledeal/net/protocol/client.py
@@ -131,7 +131,12 @@
 
 
 def answer(
-    status: HTTPStatus, length: int | None, *, keep: bool, retry_after: Time = 0, lines: bytes = b"",
+    status: HTTPStatus,
+    length: int | None,
+    *,
+    keep: bool,
+    retry_after: Time = 0,
+    lines: bytes = b"",
     chunked: bool = True,
 ) -> bytes:
     """The head of an answer, with the backend's own lines; its body follows as it is, in chunks or up to the
--- a/src/nettledeal/net/protocol/framing.py
+++ b/src/nettledeal/net/protocol/framing.py
@@ -21,8 +21,19 @@
 
 # What holds for one connection only, and what is worded anew on the next one.
 _OWN = frozenset(
-    (b"connection", b"content-length", b"expect", b"keep-alive", b"proxy-authenticate",
-     b"proxy-authorization", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade")
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
 )
 
 
@@ -38,8 +49,12 @@
     """What the parser says of one message, filled while it is read."""
 
     def __init__(
-        self, parser: type[httptools.HttpParser], most_body: int = MOST_BODY, start: int = 0,
-        bare: bool = False, most_head: int = MOST_HEAD,
+        self,
+        parser: type[httptools.HttpParser],
+        most_body: int = MOST_BODY,
+        start: int = 0,
+        bare: bool = False,
+        most_head: int = MOST_HEAD,
     ):
         # It and this refer to each other, and whole messages would wait for the garbage collector: so it goes
         # as soon as it has read all that it is to read.
--- a/src/nettledeal/net/protocol/orders.py
+++ b/src/nettledeal/net/protocol/orders.py
@@ -7,8 +7,15 @@
 # Ids are short; a line that goes on and on is no order.
 MOST_LINE = 512
 # Whether an argument follows.
-_WORDS = {"health": False, "cordon": True, "uncordon": True, "quiesce": False, "resume": False,
-          "members": False, "forget": True}
+_WORDS = {
+    "health": False,
+    "cordon": True,
+    "uncordon": True,
+    "quiesce": False,
+    "resume": False,
+    "members": False,
+    "forget": True,
+}
 
 
 class Refused(ValueError):
--- a/src/nettledeal/net/routing/actions.py
+++ b/src/nettledeal/net/routing/actions.py
@@ -45,8 +45,15 @@
 
 class Actions:
     def __init__(
-        self, clock: Clock, counters: Counters, pools: Pools, intake: Intake, events: Events,
-        probe_within: Time, reports: bool, subscribe: Callable[[], None],
+        self,
+        clock: Clock,
+        counters: Counters,
+        pools: Pools,
+        intake: Intake,
+        events: Events,
+        probe_within: Time,
+        reports: bool,
+        subscribe: Callable[[], None],
     ):
         self.clock = clock
         self.counters = counters
--- a/src/nettledeal/net/routing/intake.py
+++ b/src/nettledeal/net/routing/intake.py
@@ -47,7 +47,12 @@
         return self.customers.get(request.customer, -1)
 
     def retune(
-        self, names: Sequence[str], named: int, customers: dict[str, int], waits: dict[str, Time], most: int,
+        self,
+        names: Sequence[str],
+        named: int,
+        customers: dict[str, int],
+        waits: dict[str, Time],
+        most: int,
         now: Time,
     ) -> None:
         """Other settings. `names` are the categories in the balancer's order, the first `named` of which the
--- a/src/nettledeal/net/routing/router.py
+++ b/src/nettledeal/net/routing/router.py
@@ -35,9 +35,18 @@
 
 class Router:
     def __init__(
-        self, balancer: Balancer, clock: Clock, counters: Counters, pools: Pools,
-        categories: dict[str, int], customers: dict[str, int], waits: dict[str, Time], most: int,
-        probe_within: Time, reports: bool, subscribe: Callable[[], None],
+        self,
+        balancer: Balancer,
+        clock: Clock,
+        counters: Counters,
+        pools: Pools,
+        categories: dict[str, int],
+        customers: dict[str, int],
+        waits: dict[str, Time],
+        most: int,
+        probe_within: Time,
+        reports: bool,
+        subscribe: Callable[[], None],
     ):
         self.balancer = balancer
         self.clock = clock
@@ -124,9 +133,7 @@
     def uncordon(self, backend: str) -> bool:
         return self.execute(self._maintain, self.balancer.uncordon, backend)
 
-    def retune(
-        self, settings: Mapping, customers: dict[str, int], waits: dict[str, Time], most: int
-    ) -> None:
+    def retune(self, settings: Mapping, customers: dict[str, int], waits: dict[str, Time], most: int) -> None:
         """Other settings, in one step between two work items."""
         self.execute(self._retune, settings, customers, waits, most)
 
@@ -191,9 +198,14 @@
         category = self.intake.category(request)
         self._carry_out(
             self.balancer.take(
-                self.told, id, category, max(at + 1, expiry),
+                self.told,
+                id,
+                category,
+                max(at + 1, expiry),
                 customer=self.intake.customer(request),
-                key=request.key, again=request.again, long=request.upload is not None,
+                key=request.key,
+                again=request.again,
+                long=request.upload is not None,
             )
         )
 
--- a/src/nettledeal/net/transport/answer_writer.py
+++ b/src/nettledeal/net/transport/answer_writer.py
@@ -52,7 +52,11 @@
         self.parted = False  # its side is shut, and what still came has been read
 
     def send(
-        self, reader: RequestReader, pending: PendingAnswer, keep: bool, moves: Callable[[bool], None],
+        self,
+        reader: RequestReader,
+        pending: PendingAnswer,
+        keep: bool,
+        moves: Callable[[bool], None],
         upload: Upload | None = None,
     ) -> None:
         """One answer, whole; an error means that the connection is of no further use. `keep`: whether it is
@@ -63,8 +67,12 @@
         early = upload is not None and not upload.body.done
         in_chunks = rest is not None and length is None and not reader.dated
         head = answer(
-            status, length, keep=keep and not early, retry_after=pending.retry_after,
-            lines=pending.lines, chunked=in_chunks,
+            status,
+            length,
+            keep=keep and not early,
+            retry_after=pending.retry_after,
+            lines=pending.lines,
+            chunked=in_chunks,
         )
         left = min(max(0, pending.by - self.listener.clock.now()), LONGEST) + BEYOND
         with gevent.Timeout(left / SECOND):
--- a/src/nettledeal/net/transport/backend_connection.py
+++ b/src/nettledeal/net/transport/backend_connection.py
@@ -2,35 +2,70 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from contextlib import nullcontext
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import gevent
 from gevent import socket
 from gevent.event import Event
 
 from nettledeal.model import Outcome, Time
-from nettledeal.net.address import written
-from nettledeal.net.clock import SECOND
+from nettledeal.net.address import Address, written
+from nettledeal.net.clock import SECOND, Clock
+from nettledeal.net.counters import Counters
 from nettledeal.net.protocol.backend import Reply, ResponseReader
 from nettledeal.net.protocol.bodies import LAST_CHUNK, Malformed, chunk
 from nettledeal.net.protocol.framing import MOST_MESSAGE
-from nettledeal.net.transport.buffers import OutOfMemory, ReadBuffer
+from nettledeal.net.transport.buffers import MemoryPool, OutOfMemory, ReadBuffer
 from nettledeal.net.transport.exchange import Exchange
 from nettledeal.net.transport.relay import STALLED, Relay
 from nettledeal.net.transport.sockets import abandon, opened, peek, send_all, smooth, wait_for
 
-if TYPE_CHECKING:
-    from nettledeal.net.transport.pools import Pool
-
 # In seconds: so long a good answer whose length is not told may pause and still be kept whole.
 SOON = 0.02
 
 
+class SharedLimits(Protocol):
+    """What the connections to all backends have in common."""
+
+    memory: MemoryPool
+    longest: int  # bytes of a body
+    crowded: Callable[[], bool]  # whether places for clients are short
+
+    @property
+    def patience(self) -> Time:
+        """How long a connection may take to come up."""
+
+    def connected(self, took: Time | None) -> None:
+        """A connection took so long to come up; None where it did not."""
+
+
+class BackendConnectionOwner(Protocol):
+    """The pool of a connection: all connections to one backend."""
+
+    pools: SharedLimits
+    address: Address
+    clock: Clock
+    counters: Counters
+    rest_for: Time
+    closed: bool
+    unasked: bool  # bytes have come that nobody asked for
+
+    def rest(self, connection: BackendConnection) -> None:
+        """The connection waits for its next exchange."""
+
+    def wake(self, connection: BackendConnection) -> None:
+        """It does not wait any more."""
+
+    def ended(self, connection: BackendConnection) -> None:
+        """It is closed."""
+
+
 class BackendConnection:
     """One connection to one backend, and the greenlet that has it."""
 
-    def __init__(self, pool: Pool):
+    def __init__(self, pool: BackendConnectionOwner):
         self.pool = pool
         self.sock: socket.socket | None = None
         self.exchange: Exchange | None = None
--- a/src/nettledeal/net/transport/budget.py
+++ b/src/nettledeal/net/transport/budget.py
@@ -52,8 +52,12 @@
 
     def become(self, other: Shares) -> None:
         """As large as the other ones from here on; what is held beyond that is given back by and by."""
-        for mine, its in ((self.clients, other.clients), (self.backends, other.backends),
-                          (self.requests, other.requests), (self.answers, other.answers)):
+        for mine, its in (
+            (self.clients, other.clients),
+            (self.backends, other.backends),
+            (self.requests, other.requests),
+            (self.answers, other.answers),
+        ):
             mine.most = its.most
 
 
--- a/src/nettledeal/net/transport/client_connection.py
+++ b/src/nettledeal/net/transport/client_connection.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import gevent
 from gevent import socket
@@ -11,18 +12,16 @@
 
 from nettledeal.model import Time
 from nettledeal.net.clock import SECOND
+from nettledeal.net.counters import Counters
 from nettledeal.net.protocol.bodies import Malformed
 from nettledeal.net.protocol.client import ClientRequest, RequestReader
 from nettledeal.net.protocol.framing import MOST_MESSAGE
-from nettledeal.net.transport.answer_writer import AnswerWriter
-from nettledeal.net.transport.buffers import OutOfMemory, ReadBuffer
+from nettledeal.net.transport.answer_writer import AnsweringListener, AnswerWriter
+from nettledeal.net.transport.buffers import MemoryPool, OutOfMemory, ReadBuffer
 from nettledeal.net.transport.pending_answer import PendingAnswer
 from nettledeal.net.transport.relay import GRACE, PACE, SLOWEST, Upload
 from nettledeal.net.transport.sockets import hung_up, peek, send_all, smooth, wait_for
 
-if TYPE_CHECKING:
-    from nettledeal.net.transport.listener import Listener
-
 # A head comes whole within this time, or its client is told and the place is free again: from the accept, or
 # from its first byte on a connection used before. From the last byte, a trickle would hold the place. A body
 # then has the pace of an upload.
@@ -34,10 +33,37 @@
 LOOKS = 0.04
 
 
+class ClientConnectionOwner(AnsweringListener, Protocol):
+    """The listener that has accepted a connection, with what all of its connections share."""
+
+    counters: Counters
+    memory: MemoryPool
+    longest: int  # bytes of a body
+    draining: bool
+    uploads: int  # long requests that are still coming, or whose answer is out
+    idle: dict[ClientConnection, Time]
+    strangers: dict[ClientConnection, Time]
+    reading: dict[ClientConnection, Time]
+    relaying: dict[ClientConnection, Time]
+    offer: Callable[[ClientRequest, Time, PendingAnswer], int | None]
+    gone: Callable[[int], None]
+    overdue: Callable[[int], None]
+
+    @property
+    def crowded(self) -> bool:
+        """Whether most of the places are taken."""
+
+    def health(self) -> PendingAnswer:
+        """The answer to a check of readiness."""
+
+    def ended(self, connection: ClientConnection) -> None:
+        """The connection is closed."""
+
+
 class ClientConnection:
     """One client's connection."""
 
-    def __init__(self, listener: Listener, sock: socket.socket, welcome: bool):
+    def __init__(self, listener: ClientConnectionOwner, sock: socket.socket, welcome: bool):
         self.listener = listener
         self.sock = sock
         self.welcome = welcome
@@ -107,7 +133,10 @@
     def _keeps(self, reader: RequestReader) -> bool:
         """Whether the connection stays open behind its answer; one of HTTP/1.0 would have to be told so."""
         return (
-            reader.keeps and not reader.dated and self.welcome and not self.leaving
+            reader.keeps
+            and not reader.dated
+            and self.welcome
+            and not self.leaving
             and not self.listener.draining
         )
 
@@ -247,5 +276,3 @@
                 self.listener.gone(handle)
             elif watched:
                 watched = peek(self.sock) is None  # what is pipelined waits its turn
-
-
--- a/src/nettledeal/net/transport/discovery_watch.py
+++ b/src/nettledeal/net/transport/discovery_watch.py
@@ -64,8 +64,13 @@
     """The watch at one address."""
 
     def __init__(
-        self, address: Address, chance: Random, counters: Counters, catalogue: Catalogue,
-        news: Callable[[AddressWatch, CatalogueUpdate], None], lost: Callable[[AddressWatch], None],
+        self,
+        address: Address,
+        chance: Random,
+        counters: Counters,
+        catalogue: Catalogue,
+        news: Callable[[AddressWatch, CatalogueUpdate], None],
+        lost: Callable[[AddressWatch], None],
         version: int | None = None,
     ):
         self.address = address
@@ -178,8 +183,14 @@
     """The one watch that counts, and while that has heard nothing yet, the one that it follows."""
 
     def __init__(
-        self, address: Address, chance: Random, counters: Counters, catalogue: Catalogue,
-        news: Callable[[CatalogueUpdate], None], lost: Callable[[], None], version: int | None = None,
+        self,
+        address: Address,
+        chance: Random,
+        counters: Counters,
+        catalogue: Catalogue,
+        news: Callable[[CatalogueUpdate], None],
+        lost: Callable[[], None],
+        version: int | None = None,
     ):
         self.parts = chance, counters, catalogue, self._heard, self._lost
         self.news = news
--- a/src/nettledeal/net/transport/listener.py
+++ b/src/nettledeal/net/transport/listener.py
@@ -43,9 +43,16 @@
     """Accepts clients within its budget; those that hold no work item make room."""
 
     def __init__(
-        self, address: Address, clock: Clock, counters: Counters, budget: Budget, memory: MemoryPool,
-        offer: Callable[[ClientRequest, Time, PendingAnswer], int | None], gone: Callable[[int], None],
-        overdue: Callable[[int], None], longest: int = MOST_BODY,
+        self,
+        address: Address,
+        clock: Clock,
+        counters: Counters,
+        budget: Budget,
+        memory: MemoryPool,
+        offer: Callable[[ClientRequest, Time, PendingAnswer], int | None],
+        gone: Callable[[int], None],
+        overdue: Callable[[int], None],
+        longest: int = MOST_BODY,
     ):
         self.longest = longest  # body of a request
         self.clock = clock
--- a/src/nettledeal/net/transport/pending_answer.py
+++ b/src/nettledeal/net/transport/pending_answer.py
@@ -28,7 +28,11 @@
     left: bool = False  # nobody waits any more
 
     def put(
-        self, status: HTTPStatus, body: memoryview | bytes = b"", lines: bytes = b"", retry_after: Time = 0,
+        self,
+        status: HTTPStatus,
+        body: memoryview | bytes = b"",
+        lines: bytes = b"",
+        retry_after: Time = 0,
         rest: Rest | None = None,
     ) -> None:
         self.status, self.body, self.lines, self.retry_after = status, body, lines, retry_after
--- a/src/nettledeal/net/transport/pools.py
+++ b/src/nettledeal/net/transport/pools.py
@@ -90,8 +90,14 @@
     """All connections to backends, within one budget."""
 
     def __init__(
-        self, clock: Clock, counters: Counters, budget: Budget, memory: MemoryPool, longest: int,
-        connect_within: Time, idle_limit: Time,
+        self,
+        clock: Clock,
+        counters: Counters,
+        budget: Budget,
+        memory: MemoryPool,
+        longest: int,
+        connect_within: Time,
+        idle_limit: Time,
     ):
         self.clock = clock
         self.counters = counters
--- a/src/nettledeal/net/transport/relay.py
+++ b/src/nettledeal/net/transport/relay.py
@@ -34,7 +34,12 @@
     """What a backend has yet to send of an answer, for the client's connection to pull."""
 
     def __init__(
-        self, sock: socket.socket, body: Body, first: list[bytes], memory: MemoryPool, counters: Counters,
+        self,
+        sock: socket.socket,
+        body: Body,
+        first: list[bytes],
+        memory: MemoryPool,
+        counters: Counters,
         keeps: bool,
     ):
         self.sock = sock
@@ -102,7 +107,12 @@
     """What a client has yet to send of a request, for a connection to a backend to pull."""
 
     def __init__(
-        self, sock: socket.socket, body: Body, memory: MemoryPool, clock: Clock, kept: int,
+        self,
+        sock: socket.socket,
+        body: Body,
+        memory: MemoryPool,
+        clock: Clock,
+        kept: int,
         told: Callable[[], None],
     ):
         self.sock = sock
--- a/src/nettledeal/peers.py
+++ b/src/nettledeal/peers.py
@@ -35,17 +35,22 @@
 
 
 @lru_cache(maxsize=4)
-def dealt_out(
-    agents: tuple[str, ...], backends: tuple[str, ...], width: int
-) -> Mapping[str, Sequence[str]]:
+def dealt_out(agents: tuple[str, ...], backends: tuple[str, ...], width: int) -> Mapping[str, Sequence[str]]:
     """`deal`, worked out anew only where somebody has come or gone: it is asked for at every look."""
     return deal(agents, backends, width)
 
 
 class Peers:
     def __init__(
-        self, told: MembershipSettings, name: str, zone: int, seed: int, clock: Clock, counters: Counters,
-        router: Router, cordon: Callable[[str, bool], None],
+        self,
+        told: MembershipSettings,
+        name: str,
+        zone: int,
+        seed: int,
+        clock: Clock,
+        counters: Counters,
+        router: Router,
+        cordon: Callable[[str, bool], None],
     ):
         """`cordon` puts an order of another agent in force here."""
         self.router, self.clock, self.counters, self.cordon = router, clock, counters, cordon
@@ -53,7 +58,13 @@
         self.zone = zone
         self.dealt: tuple[str, ...] = ()
         self.member = Member(
-            name, told.advertise, told.cluster, told.seeds, Timing(**told.timing), Random(seed), clock.now(),
+            name,
+            told.advertise,
+            told.cluster,
+            told.seeds,
+            Timing(**told.timing),
+            Random(seed),
+            clock.now(),
             zone,
         )
         self.host = Host(self.member, told.listen, clock.now, self._heard, self._count, log)
@@ -81,14 +92,23 @@
         now, member = self.clock.now(), self.member
         words = sorted([*member.view.words.values(), member.me], key=lambda word: word.name)
         return {
-            "name": member.name, "cluster": member.cluster, "joined": member.joined, "silent": member.silent,
-            "ill": member.health.ill, "counted": self.census.full,
-            "sure": self.census.sure(*missed(member.view)), "accused": member.health.accused,
-            "refuted": member.health.refuted, "late": member.health.late,
+            "name": member.name,
+            "cluster": member.cluster,
+            "joined": member.joined,
+            "silent": member.silent,
+            "ill": member.health.ill,
+            "counted": self.census.full,
+            "sure": self.census.sure(*missed(member.view)),
+            "accused": member.health.accused,
+            "refuted": member.health.refuted,
+            "late": member.health.late,
             "members": [
                 {
-                    "name": word.name, "at": written(word.address), "state": spoken(word.state),
-                    "by": word.by, "incarnation": word.incarnation,
+                    "name": word.name,
+                    "at": written(word.address),
+                    "state": spoken(word.state),
+                    "by": word.by,
+                    "incarnation": word.incarnation,
                     "for_s": round((now - member.view.since.get(word.name, member.me.life)) / SECOND, 1),
                 }
                 for word in words
@@ -150,8 +170,7 @@
         found: list[str] = []
         for home, width in ((True, SUBSET), (False, SUBSET // 2)):
             group = tuple(
-                str(b.id) for b in state.backends.values()
-                if b.runs and (b.listing.zone == self.zone) is home
+                str(b.id) for b in state.backends.values() if b.runs and (b.listing.zone == self.zone) is home
             )
             mates = tuple(name for name in agents if places[name] == self.zone)
             found += dealt_out(mates, group, width).get(self.member.name, ())
--- a/src/nettledeal/policy/balancer.py
+++ b/src/nettledeal/policy/balancer.py
@@ -23,7 +23,7 @@
     def take(
         self, now: Time, id: WorkItemId, category: int, expiry: Time, *, customer: int = 0,
         key: str | None = None, again: bool = False, long: bool = False,
-    ) -> Step:
+    ) -> Step:  # fmt: skip
         kind = self.state.category(category)
         due = expiry
         # When a long one will be whole is not known: until then it counts as one with all its time.
@@ -52,7 +52,7 @@
     def returned(
         self, now: Time, id: WorkItemId, number: int, outcome: Outcome, took: Time, *, closed: bool,
         report: Report,
-    ) -> Step:
+    ) -> Step:  # fmt: skip
         ho = self.in_flight.pop((id, number), None)
         if ho is None:
             return self._step(now)
--- a/src/nettledeal/policy/dispatch.py
+++ b/src/nettledeal/policy/dispatch.py
@@ -48,9 +48,11 @@
             return
         # What the effect allows and what is sound goes into the look around, so that a sample has both.
         p.choices = self.state.sample(
-            lambda b: self.retries.allows(wi, b, now)
-            and self.health.allows(wi, b, now)
-            and not (extra and any(ho.backend is b for ho in wi.sent)),
+            lambda b: (
+                self.retries.allows(wi, b, now)
+                and self.health.allows(wi, b, now)
+                and not (extra and any(ho.backend is b for ho in wi.sent))
+            ),
             p.favoured,
         )
         if all(stage.on_request(p) for stage in self.stages) and self._legal(p):
--- a/src/nettledeal/registry/answers.py
+++ b/src/nettledeal/registry/answers.py
@@ -80,9 +80,7 @@
     return Choice(nearest(members, place, doubted), lasting=place.homes is None)
 
 
-def nearest(
-    members: Iterable[MemberInfo], place: Place, doubted: Collection[str] = ()
-) -> list[MemberInfo]:
+def nearest(members: Iterable[MemberInfo], place: Place, doubted: Collection[str] = ()) -> list[MemberInfo]:
     """The members of a client's zone, or of its region or of all where they are few."""
     everyone = serving(members, doubted)
     local = [member for member in everyone if member.zone == place.zone]
--- a/src/nettledeal/reloading.py
+++ b/src/nettledeal/reloading.py
@@ -17,12 +17,23 @@
 # What was built by it at the start, or is bound to the module's memory; seed and known list are for a start.
 FIXED = ("name", "listen", "admin", "memory_mb", "sockets", "longest", "membership")
 # Settings that were built in at the start, too.
-BUILT = ("zone", "zones", "kinds", "discovery", "feedback", "resolution", "allowed.conn_idle",
-         "allowed.connect_timeout")
+BUILT = (
+    "zone",
+    "zones",
+    "kinds",
+    "discovery",
+    "feedback",
+    "resolution",
+    "allowed.conn_idle",
+    "allowed.connect_timeout",
+)
 
 
 def put_in_force(
-    old: Configuration, new: Configuration, router: Router, discovery_watch: DiscoveryWatch,
+    old: Configuration,
+    new: Configuration,
+    router: Router,
+    discovery_watch: DiscoveryWatch,
     overlay: Mapping[str, Any],
 ) -> Configuration:
     """What is in force from here on, in one step. `new` has been checked against `old`; `overlay` are the
@@ -37,7 +48,9 @@
         kept = {name: value for key in BUILT for name, value in old.group(key).items()}
         router.retune(
             {**new.settings, **kept, **overlay},
-            new.numbers("projects"), new.waits(), new.setting("allowed.max_open"),
+            new.numbers("projects"),
+            new.waits(),
+            new.setting("allowed.max_open"),
         )
     discovery_watch.move(new.discovery)
     log.info("reloaded", discovery=written(new.discovery))
--- a/src/nettledeal/ring.py
+++ b/src/nettledeal/ring.py
@@ -24,9 +24,7 @@
 
     def total(self, now: Time, column: int) -> float:
         oldest = now // self.step - len(self.rows) + 1
-        return sum(
-            row[column] for row, stamp in zip(self.rows, self.stamps, strict=True) if stamp >= oldest
-        )
+        return sum(row[column] for row, stamp in zip(self.rows, self.stamps, strict=True) if stamp >= oldest)
 
 
 @dataclass(slots=True)
--- a/src/nettledeal/sim/host.py
+++ b/src/nettledeal/sim/host.py
@@ -158,5 +158,3 @@
         print(f"nettledeal: line {number}: {fault}", file=log)
         return 2
     return 0
-
-
--- a/src/nettledeal/units.py
+++ b/src/nettledeal/units.py
@@ -15,8 +15,14 @@
 
 # Durations among the settings, and which way each is rounded.
 ROUND_DOWN = frozenset(
-    ("allowed.conn_idle", "allowed.connect_timeout", "allowed.max_retry_after", "rules.answer_slack",
-     "rules.ask_within", "rules.drain_grace")
+    (
+        "allowed.conn_idle",
+        "allowed.connect_timeout",
+        "allowed.max_retry_after",
+        "rules.answer_slack",
+        "rules.ask_within",
+        "rules.drain_grace",
+    )
 )
 ROUND_UP = frozenset(("resolution", "rules.tip_after", "rules.warm_within"))
 CATEGORY_TIMES = frozenset(("due_time", "expiry", "window"))
