--- a/src/nettledeal/cli.py
+++ b/src/nettledeal/cli.py
@@ -237,8 +237,8 @@
     \b
     nettledeal fleet rehearse --count 20000
     """
-    from nettledeal.membership.rehearsal import many
-    from nettledeal.membership.rehearsal import rehearse as play
+    from nettledeal_simulations.membership import many
+    from nettledeal_simulations.membership import rehearse as play
 
     broken = 0
     for seed, found in many(play, range(first, first + count)):
--- a/src/nettledeal/membership/baselines.py
+++ b/src/nettledeal_simulations/membership_baselines.py
@@ -10,11 +10,11 @@
 from nettledeal.membership.member import Member
 from nettledeal.membership.packets import TELL, Packet
 from nettledeal.membership.pending import Suspicion
-from nettledeal.membership.rehearsal import START, Rehearsal, Weather
 from nettledeal.membership.steps import SECOND, Timing
 from nettledeal.membership.view import State, Word
 from nettledeal.net.address import Address
 from nettledeal.units import Time
+from nettledeal_simulations.membership import START, Rehearsal, Weather
 
 
 class Plain(Member):
--- a/src/nettledeal/standins/tenant_schedules.py
+++ b/src/nettledeal_simulations/tenants.py
@@ -1,6 +1,6 @@
 """Seeded schedules of a fleet with two tenants: traffic, moves, lost regions, rotations, drops, bad requests.
 
-`python3 -m nettledeal.standins.tenant_schedules --schedules 10000` plays them and prints what was found
+`python3 -m nettledeal_simulations.tenants --schedules 10000` plays them and prints what was found
 across tenants, which must be nothing, and the own reuse beside that of the same schedules without separation;
 then each planted fault, which must be counted. Exit status 0 where all of that holds, else 1.
 """
@@ -24,7 +24,7 @@
     proof,
     request_text,
 )
-from nettledeal.standins.tenant_world import Conditions, Count, TenantWorld
+from nettledeal_simulations.tenant_world import Conditions, Count, TenantWorld
 
 STEPS = 120
 STEP_S = 0.1
--- a/tests/system/test_membership_schedules.py
+++ b/tests/system/test_membership_schedules.py
@@ -11,9 +11,9 @@
 from nettledeal.membership.member import Member
 from nettledeal.membership.node import timing_for
 from nettledeal.membership.packets import COMPARE, TELL, VERSION, Packet
-from nettledeal.membership.rehearsal import START, Fault, Rehearsal, Weather, promises, rehearse
 from nettledeal.membership.steps import SECOND, Call
 from nettledeal.membership.view import Metadata, State, Word
+from nettledeal_simulations.membership import START, Fault, Rehearsal, Weather, promises, rehearse
 
 ZONES = ("zone-one", "zone-two", "zone-three")
 HEARTBEAT_MS = 1200.0
--- a/tests/system/test_tenancy_commands.py
+++ b/tests/system/test_tenancy_commands.py
@@ -15,10 +15,10 @@
 from nettledeal.programs.commands import tenants as command
 from nettledeal.programs.main import main
 from nettledeal.standins.tenant_scenario import BANK, FUND, POOLED, Plan, make_configuration
-from nettledeal.standins.tenant_world import region_keys
 from nettledeal.tenancy.counters import RefusalReason, TenantCounters
 from nettledeal.tenancy.identity import token_digest
 from nettledeal.tenancy.orders import key_in_force
+from nettledeal_simulations.tenant_world import region_keys
 from tests.system.operator_api_support import MemoryNode
 
 CORE = Address("10.0.0.1", 8166)
--- a/tests/system/test_tenancy_control.py
+++ b/tests/system/test_tenancy_control.py
@@ -24,9 +24,9 @@
     make_configuration,
     own_service,
 )
-from nettledeal.standins.tenant_world import region_keys
 from nettledeal.tenancy.inspection import faults_of_tenancy
 from nettledeal.tenancy.orders import TenantStatus, key_in_force, tenant_statuses
+from nettledeal_simulations.tenant_world import region_keys
 from tests.system.operator_api_support import MemoryNode, make_body
 
 OWN = {FUND: own_service(FUND), BANK: own_service(BANK)}
--- a/tests/system/test_tenancy_data_plane.py
+++ b/tests/system/test_tenancy_data_plane.py
@@ -18,8 +18,8 @@
     own_service,
     token_of,
 )
-from nettledeal.standins.tenant_world import region_keys
 from nettledeal.tenancy.sealing import make_region_key
+from nettledeal_simulations.tenant_world import region_keys
 from system.dataplane_rig import StandIn, catalogue, read_message, running
 
 PROMPT = "0a01:900,0a02:900,ff:60"
--- a/tests/system/test_tenancy_gate.py
+++ b/tests/system/test_tenancy_gate.py
@@ -10,12 +10,12 @@
 from nettledeal.standins.tenant_control import ControlHistory
 from nettledeal.standins.tenant_scenario import ANY_PATH, BANK, FUND, POOLED, Plan, request_text
 from nettledeal.standins.tenant_scenario import make_configuration as make_body
-from nettledeal.standins.tenant_world import region_keys
 from nettledeal.tenancy.counters import UNKNOWN_TENANT, RefusalReason
 from nettledeal.tenancy.gate import TenantGate, TenantRefusal
 from nettledeal.tenancy.identity import ProvenTenant
 from nettledeal.tenancy.keys import NO_GENERATION, KeyRing
 from nettledeal.tenancy.prompts import BadPrompt, read_parts, separate
+from nettledeal_simulations.tenant_world import region_keys
 
 PLACES = {FUND: POOLED, BANK: POOLED}
 
--- a/tests/system/test_tenancy_keys.py
+++ b/tests/system/test_tenancy_keys.py
@@ -8,10 +8,10 @@
 import pytest
 
 from nettledeal.common.errors import ErrorCode, ServingError
-from nettledeal.standins.tenant_world import region_keys
 from nettledeal.tenancy.identity import is_name, token_digest, token_matches
 from nettledeal.tenancy.keys import KeyRing, SealedKey, TenantKey, encode_key
 from nettledeal.tenancy.sealing import is_public_key, make_region_key, make_sealed_key, region_opener
+from nettledeal_simulations.tenant_world import region_keys
 
 TENANT_KEY = "tenant-key/fund"
 
--- a/tests/system/test_tenancy_schedules.py
+++ b/tests/system/test_tenancy_schedules.py
@@ -4,8 +4,8 @@
 
 from nettledeal.standins.prefix_cache import PromptPart, RecordingCache
 from nettledeal.standins.tenant_faults import Fault
-from nettledeal.standins.tenant_schedules import FAULT_SCHEDULES, LEAST_REUSE, Schedule, play
-from nettledeal.standins.tenant_world import Conditions
+from nettledeal_simulations.tenant_world import Conditions
+from nettledeal_simulations.tenants import FAULT_SCHEDULES, LEAST_REUSE, Schedule, play
 
 SCHEDULES = 15
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,7 +13,11 @@
 from nettledeal.membership.member import Member
 from nettledeal.membership.packets import MOST_DATAGRAM, PING, VERSION, Packet, Refusal, decoded, encoded
 from nettledeal.membership.pending import DOUBT, Suspicion
-from nettledeal.membership.rehearsal import (
+from nettledeal.membership.rumours import Rumours
+from nettledeal.membership.steps import SECOND, Send, Timing
+from nettledeal.membership.suspicion import ACCUSERS
+from nettledeal.membership.view import MOST_INCARNATION, Order, State, View, Word
+from nettledeal_simulations.membership import (
     BRISK,
     START,
     Fault,
@@ -23,10 +27,6 @@
     promises,
     rehearse,
 )
-from nettledeal.membership.rumours import Rumours
-from nettledeal.membership.steps import SECOND, Send, Timing
-from nettledeal.membership.suspicion import ACCUSERS
-from nettledeal.membership.view import MOST_INCARNATION, Order, State, View, Word
 
 NOW = START
 words = st.builds(
