--- a/experiments/control_schedules.py
+++ b/experiments/control_schedules.py
@@ -30,13 +30,8 @@
 CHUNK = 50
 PROGRESS_EVERY_S = 20.0
 RESULTS = ROOT / "results" / "control-schedules.sqlite"
-SOURCES = (
-    "src/nettledeal/control/*.py",
-    "src/nettledeal/common/settings.py",
-    "tests/system/control_rehearsal.py",
-    "tests/system/control_worst_days.py",
-    "tests/system/order_history.py",
-)
+# Of what is loaded, what an outcome depends on.
+SOURCES = ("nettledeal.control", "nettledeal.common.settings", "tests.system")
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,11 +52,11 @@
 
 
 def version() -> str:
-    """The digest of the sources on which an outcome depends."""
+    """The digest of the loaded sources on which an outcome depends."""
     digest = hashlib.sha256()
-    for pattern in SOURCES:
-        for path in sorted(ROOT.glob(pattern)):
-            digest.update(path.read_bytes())
+    for name, module in sorted(sys.modules.items()):
+        if name.startswith(SOURCES) and module.__file__ is not None:
+            digest.update(Path(module.__file__).read_bytes())
     return digest.hexdigest()[:16]
 
 
--- a/src/nettledeal/control/data_checks.py
+++ b/src/nettledeal/control/data_checks.py
@@ -13,6 +13,7 @@
     CONFIGURATION_KEY,
     CONFIGURATION_META_KEY,
     EVACUATION_PREFIX,
+    SHARE_PREFIX,
     TENANTS_KEY,
     ControlState,
 )
@@ -20,6 +21,8 @@
 from nettledeal.operator_api.configuration_checks import parse_configuration
 
 _SEQUENCE_BYTES = 8
+# Of entries that a data plane or the primary goes by as they are.
+_PREFIXES = (EVACUATION_PREFIX, SHARE_PREFIX)
 
 
 def findings(directory: DataDirectory) -> list[str]:
@@ -87,4 +90,4 @@
 
 
 def _is_known(key: str) -> bool:
-    return key in (CONFIGURATION_KEY, CONFIGURATION_META_KEY) or key.startswith(EVACUATION_PREFIX)
+    return key in (CONFIGURATION_KEY, CONFIGURATION_META_KEY) or key.startswith(_PREFIXES)
--- a/tests/system/test_data_inspection.py
+++ b/tests/system/test_data_inspection.py
@@ -37,7 +37,12 @@
     storage.create("a", WitnessState(RECORD))
     body = make_body(7)
     changes = decide(ControlState(), PutConfiguration(0, 7, order_digest(body), body)).changes
-    storage.write([SaveChanges(3, 1, changes), SaveChanges(3, 2, (Change("evacuation/z1", b""),))])
+    storage.write(
+        [
+            SaveChanges(3, 1, changes),
+            SaveChanges(3, 2, (Change("evacuation/z1", b""), Change("share/edge-1", b"g"))),
+        ]
+    )
     return storage
 
 
