--- a/review/lib-2/small_system.py
+++ b/review/lib-2/small_system.py
@@ -82,28 +82,29 @@
 
 
 class Machine:
-    """One process of the system with its settings file."""
+    """One process of the system with its settings file. A relay is the control role on an edge machine."""
 
-    def __init__(self, system, name, kind, number, zone, bootstrap):
-        self.system, self.name, self.kind, self.zone = system, name, kind, zone
-        self.host = f"{system.prefix}.{(11 if kind == 'core' else 51) + number}"
-        self.role = "control-plane" if kind == "core" else "data-plane"
+    def __init__(self, system, name, role, number, zone, bootstrap=True):
+        self.system, self.name, self.role, self.zone = system, name, role, zone
+        self.kind = "core" if role == "control-plane" else "edge"
+        self.host = f"{system.prefix}.{(11 if self.kind == 'core' else 51) + number}"
         self.path = system.folder / f"{name}.toml"
+        self.data = system.folder / f"{name}-data"
         self.process = None
         self.write_settings(bootstrap)
 
     def write_settings(self, bootstrap):
-        core = self.kind == "core"
+        core, control = self.kind == "core", self.role != "data-plane"
         values = {
             "node_name": self.name,
             "role": self.role,
             "machine_class": self.kind,
-            "serves": ["control_plane", "registry"] if core else ["edge"],
+            "serves": ["control_plane", "registry"] if control else ["edge"],
             "ip": self.host,
             "zone": self.zone,
             "region": ZONES[self.zone],
             "port_range": [7720, 7735],
-            "seeds": [f"{self.system.prefix}.{11 + n}:{CONTROL}" for n in range(3)],
+            "seeds": [f"{host}:{CONTROL}" for host in self.system.seeds],
             "bootstrap": bootstrap,
             "counts_for_quorum": core,
             "discovery": "cloud_api",
@@ -114,9 +115,9 @@
             ],
         }
         if core:
-            folder = self.system.folder / f"{self.name}-data"
-            folder.mkdir(exist_ok=True)
-            values["data_dir"] = str(folder)
+            self.data.mkdir(exist_ok=True)
+            values["data_dir"] = str(self.data)
+        if control:
             listen = {"control_plane": f"{self.host}:{CONTROL}", "directory": f"{self.host}:{DIRECTORY}"}
         else:
             listen = {"frontend": f"{self.host}:{FRONTEND}", "readiness": f"{self.host}:{READINESS}"}
@@ -337,23 +338,27 @@
 class System:
     """Three core machines, some edge machines, and the stand-ins around them."""
 
-    def __init__(self, folder, record, edge_zones=("aarhus-hal", "koege-hal")):
+    def __init__(self, folder, record, edge_zones=("aarhus-hal", "koege-hal"), relay_zones=()):
         self.folder, self.record = Path(folder), record
         self.prefix = free_prefix()
+        self.seeds = [f"{self.prefix}.{11 + n}" for n in range(3)]
         self.listed = []
         self.backends = []
         self.platform = Platform(self)
         self.cores = [
-            Machine(self, f"core-{n + 1}", "core", n, ZONE_NAMES[n], bootstrap=True) for n in range(3)
+            Machine(self, f"core-{n + 1}", "control-plane", n, zone) for n, zone in enumerate(ZONE_NAMES)
         ]
         self.edges = [
-            Machine(self, f"edge-{n + 1}", "edge", n, zone, bootstrap=True)
-            for n, zone in enumerate(edge_zones)
+            Machine(self, f"edge-{n + 1}", "data-plane", n, zone) for n, zone in enumerate(edge_zones)
+        ]
+        self.relays = [
+            Machine(self, f"edge-{n + 1}-control", "edge-control", n, zone)
+            for n, zone in enumerate(relay_zones)
         ]
 
     @property
     def machines(self):
-        return self.cores + self.edges
+        return self.cores + self.edges + self.relays
 
     def add_backend(self, *arguments, **options):
         backend = Backend(self, len(self.backends) + 1, *arguments, **options)
@@ -385,9 +390,9 @@
         deadline = time.monotonic() + within
         number = 0
         while time.monotonic() < deadline:
-            core = self.cores[number % 3]
+            callees = self.cores + self.relays
+            host, port = callees[number % len(callees)].host, CONTROL
             number += 1
-            host, port = core.host, CONTROL
             for _ in range(3):
                 status, answered, answer = await call(host, port, method, path, body, headers, 1.0)
                 if status != 307:
