Control plane: log the hosts it keeps connections to, by what named them

`control:contacts` says which hosts a replica keeps connections to and which source named each: the epoch's voters, replicas heard, the seeds, membership. `control:connected` and `control:heard` say which connections stand, and which epoch the caller knew. The sets are computed in control/contacts.py, without a change in what they hold.

--- /dev/null
+++ b/src/nettledeal/control/contacts.py
@@ -0,0 +1,42 @@
+"""The hosts to which a replica keeps connections, by the sources that name them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from nettledeal.control.replica import Replica
+
+
+class Contacts(msgspec.Struct, frozen=True):
+    """Hosts by source: the epoch's voters, replicas heard, the settings' seeds, and group membership."""
+
+    voters: frozenset[str] = frozenset()
+    heard: frozenset[str] = frozenset()
+    seeds: frozenset[str] = frozenset()
+    members: frozenset[str] = frozenset()
+
+    @property
+    def hosts(self) -> frozenset[str]:
+        """All hosts, whatever named them."""
+        return self.voters | self.heard | self.seeds | self.members
+
+
+def find_contacts(
+    replica: Replica, now: float, forget_after_s: float, seeds: Iterable[str], members: Iterable[str]
+) -> Contacts:
+    """The hosts to which `replica` needs connections at `now`, on its monotonic clock.
+
+    Seeds and `members`, the hosts where membership sees a replica, are used only while the state wasn't
+    confirmed for `forget_after_s`: otherwise the primary can be reached.
+    """
+    record = replica.record
+    voters = frozenset(voter.host for voter in record.voters) if record is not None else frozenset()
+    heard = set()
+    if replica.primary is not None:
+        heard |= {peer.info.host for peer in replica.primary.peers.values()}
+    if replica.confirmed_age_s(now) <= forget_after_s:
+        return Contacts(voters, frozenset(heard))
+    heard |= replica.known_replicas.keys()
+    return Contacts(voters, frozenset(heard), frozenset(seeds), frozenset(members))
--- a/src/nettledeal/control/mesh.py
+++ b/src/nettledeal/control/mesh.py
@@ -15,6 +15,7 @@
 from nettledeal.common.addresses import Address
 from nettledeal.common.connections import connect, listening_socket, tune
 from nettledeal.common.errors import ServingError
+from nettledeal.common.logs import log_event
 from nettledeal.common.messages import FrameConnection
 from nettledeal.control.messages import CODEC, ForeignCluster, Hello, Message, ReplicaInfo
 
@@ -65,6 +66,7 @@
                 continue
             retry_s = RETRY_MIN_S
             self._connection = FrameConnection(sock, CODEC, str(self._address))
+            log_event("control:connected", host=self._address.host)
             watcher = gevent.spawn(self._watch_for_end, self._connection)
             self._send_all(self._connection)
             watcher.kill(block=False)
@@ -173,6 +175,7 @@
             if earlier is not None:
                 earlier.close()
             self._incoming[host] = connection
+            log_event("control:heard", host=host, epoch=hello.record.epoch if hello.record else None)
             self._on_message(hello.sender, hello)
             while True:
                 self._on_message(hello.sender, connection.receive())
--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -10,12 +10,14 @@
 
 import gevent
 from gevent.event import AsyncResult, Event
+from msgspec.structs import asdict
 
 from nettledeal.common.addresses import Address, InternalPort, parse_address
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.common.logs import log_event
 from nettledeal.common.settings import Settings
 from nettledeal.control.cluster_guard import ClusterGuard
+from nettledeal.control.contacts import Contacts, find_contacts
 from nettledeal.control.effect_executor import EffectExecutor
 from nettledeal.control.effects import DurableState
 from nettledeal.control.identity import CoreMember, core_member, first_identity, own_info
@@ -74,6 +76,7 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._cluster_guard = ClusterGuard(self._folder)
         self._last_reading_at: float | None = None
+        self._contacts = Contacts()
 
     def start(self) -> None:
         """Open the disk, listen, and join the cluster.
@@ -288,16 +291,14 @@
             self.on_reader_changed()
 
     def _update_links(self) -> None:
-        record = self._replica.record
-        hosts = {voter.host for voter in record.voters} if record else set()
-        primary = self._replica.primary
-        if primary is not None:
-            hosts |= {peer.info.host for peer in primary.peers.values()}
-        if self.confirmed_age_s() > self._timing.forget_after_s:
-            hosts |= {parse_address(seed).host for seed in self.settings.seeds}
-            hosts |= {info.host for info in self._replica.known_replicas.values()}
-            hosts |= set(self.known_hosts())
-        self._mesh.set_hosts(hosts)
+        seeds = (parse_address(seed).host for seed in self.settings.seeds)
+        contacts = find_contacts(
+            self._replica, time.monotonic(), self._timing.forget_after_s, seeds, self.known_hosts()
+        )
+        if contacts != self._contacts:
+            self._contacts = contacts
+            log_event("control:contacts", **{name: sorted(hosts) for name, hosts in asdict(contacts).items()})
+        self._mesh.set_hosts(contacts.hosts)
 
     # Time
 
