--- a/src/nettledeal/control/contacts.py
+++ b/src/nettledeal/control/contacts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -24,12 +24,17 @@
 
 
 def find_contacts(
-    replica: Replica, now: float, forget_after_s: float, seeds: Iterable[str], members: Iterable[str]
+    replica: Replica,
+    now: float,
+    forget_after_s: float,
+    seeds: Iterable[str],
+    member_hosts: Callable[[], Iterable[str]],
 ) -> Contacts:
     """The hosts to which `replica` needs connections at `now`, on its monotonic clock.
 
-    Seeds and `members`, the hosts where membership sees a replica, are used only while the state wasn't
-    confirmed for `forget_after_s`: otherwise the primary can be reached.
+    Seeds and `member_hosts`, where membership sees a replica, are used only while the state wasn't confirmed
+    for `forget_after_s`: otherwise the primary can be reached. They change without any input to the replica,
+    so a host has to call this at intervals as well.
     """
     record = replica.record
     voters = frozenset(voter.host for voter in record.voters) if record is not None else frozenset()
@@ -39,4 +44,4 @@
     if replica.confirmed_age_s(now) <= forget_after_s:
         return Contacts(voters, frozenset(heard))
     heard |= replica.known_replicas.keys()
-    return Contacts(voters, frozenset(heard), frozenset(seeds), frozenset(members))
+    return Contacts(voters, frozenset(heard), frozenset(seeds), frozenset(member_hosts()))
--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -51,7 +51,7 @@
         self.on_commit: list[Callable[[ControlState], None]] = []
         self.on_reader_changed: Callable[[], None] = lambda: None
         self.on_refused: Callable[[ServingError], None] = lambda error: None
-        # Hosts of other replicas, known from another source: the seeds may run no replica.
+        # Hosts where membership sees a replica, also this one's: the seeds may run no replica.
         self.known_hosts: Callable[[], Iterable[str]] = tuple
         self._folder = Path(storage_dir or settings.data_dir or ".")
         self._timing = timing_for(settings.bounds)
@@ -77,6 +77,8 @@
         self._cluster_guard = ClusterGuard(self._folder)
         self._last_reading_at: float | None = None
         self._contacts = Contacts()
+        self._seed_hosts = frozenset(parse_address(seed).host for seed in settings.seeds)
+        self._stopped = False
 
     def start(self) -> None:
         """Open the disk, listen, and join the cluster.
@@ -93,8 +95,9 @@
         )
         self._writer.start(storage)
         self._mesh.start()
-        self._update_links()
-        self._greenlets = [gevent.spawn(self._run_timer), gevent.spawn(self._run_disk_check)]
+        self.review_contacts()
+        loops = (self._run_timer, self._run_disk_check, self._run_contact_review)
+        self._greenlets = [gevent.spawn(loop) for loop in loops]
 
     def stop(self) -> None:
         """Hand over leadership, wait until the other replicas no longer need this one, and close."""
@@ -107,6 +110,7 @@
 
     def abort(self) -> None:
         """Stop at once, as in a crash."""
+        self._stopped = True
         self._mesh.stop()
         gevent.killall(self._greenlets, block=False)
         self._writer.stop()
@@ -276,7 +280,7 @@
                 in_sync=list(record.in_sync),
                 voters=[f"{voter.replica_id}@{voter.host}" for voter in record.voters],
             )
-        self._update_links()
+        self.review_contacts()
         self._notify_reader_change()
         state = self._replica.replicated.committed
         if state is not None and state.sequence > self._notified_sequence:
@@ -290,15 +294,21 @@
             self._notified_reader = reader
             self.on_reader_changed()
 
-    def _update_links(self) -> None:
-        seeds = (parse_address(seed).host for seed in self.settings.seeds)
+    def review_contacts(self) -> None:
+        """Keep connections to the hosts that the replica needs now; called also when membership changes."""
+        if self._replica is None or self._stopped:
+            return
         contacts = find_contacts(
-            self._replica, time.monotonic(), self._timing.forget_after_s, seeds, self.known_hosts()
+            self._replica,
+            time.monotonic(),
+            self._timing.forget_after_s,
+            self._seed_hosts,
+            self.known_hosts,
         )
         if contacts != self._contacts:
             self._contacts = contacts
             log_event("control:contacts", **{name: sorted(hosts) for name, hosts in asdict(contacts).items()})
-        self._mesh.set_hosts(contacts.hosts)
+            self._mesh.set_hosts(contacts.hosts)
 
     # Time
 
@@ -317,6 +327,12 @@
                 continue
             self._apply_input(self._replica.tick)
 
+    def _run_contact_review(self) -> None:
+        """Review the contacts periodically: a replica that hears nobody has no input to do it at."""
+        while True:
+            gevent.sleep(self._timing.announce_interval_s)
+            self.review_contacts()
+
     def _run_disk_check(self) -> None:
         """Check the disk's health periodically: a hanging disk produces no event that could be waited for."""
         while True:
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -55,6 +55,7 @@
         )
         self.membership = MembershipNode(settings, Role.CORE)
         self.node.known_hosts = self.membership.core_hosts
+        self.membership.on_change.append(self.node.review_contacts)
         self.registry = RegistryServer(settings, self.membership) if settings.listen.directory else None
         self.operator_api = OperatorServer(
             settings,
--- /dev/null
+++ b/tests/system/test_control_contacts.py
@@ -0,0 +1,24 @@
+"""How replicas of the control state find one another, whatever their seeds name."""
+
+from __future__ import annotations
+
+from tests.system.control_cluster import HOSTS, await_that, cluster_in
+
+NEWCOMER = "127.0.7.4"
+HOST_WITHOUT_REPLICA = "127.0.7.9"
+
+
+def is_voter(node) -> bool:
+    return node.replica_id in {core.replica_id for core in node.cores()}
+
+
+def test_a_successor_looks_up_core_machines_that_membership_learns_of_later(tmp_path):
+    # Guards against a replica without a record that looks for the others at its start only (review/4).
+    with cluster_in(tmp_path) as cluster:
+        cluster.primary()
+        member_hosts = []
+        successor = cluster.start(
+            NEWCOMER, bootstrap=False, seeds=[HOST_WITHOUT_REPLICA], member_hosts=member_hosts
+        )
+        member_hosts += HOSTS
+        await_that(lambda: is_voter(successor))
