Control plane: answer replicas that the primary doesn't know, and have them announce themselves until heard

Cause: a message to a host without a connection is dropped, and a backup whose state is confirmed kept connections to the voters alone. So its answer to the successor's Hello was dropped; and the successor, without a record, said Hello once per connection and never again.

Evidence (control:contacts, control:heard): the backup logs `control:heard` with `epoch` null and no change of its contacts; the successor logs `control:connected` and never `control:heard`.

Change: every replica keeps connections to whoever it heard within forget_after_s, and a replica that hears no primary announces itself to all its contacts every announce_interval_s, with or without a record. Why this works: the backup's new connection begins with its Hello, whose record names all voters, the primary among them; if it is lost, the next announcement asks again.

Test: test_a_successor_that_reaches_only_a_backup_joins, failed before (no voter in 8 s), passes.

--- a/src/nettledeal/control/contacts.py
+++ b/src/nettledeal/control/contacts.py
@@ -38,7 +38,8 @@
     """
     record = replica.record
     voters = frozenset(voter.host for voter in record.voters) if record is not None else frozenset()
-    heard = set()
+    # A message to a host without a connection is dropped: answers need one to whoever was heard.
+    heard = replica.recently_heard_hosts(now)
     if replica.primary is not None:
         heard |= {peer.info.host for peer in replica.primary.peers.values()}
     if replica.confirmed_age_s(now) <= forget_after_s:
--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -309,6 +309,7 @@
             self._contacts = contacts
             log_event("control:contacts", **{name: sorted(hosts) for name, hosts in asdict(contacts).items()})
             self._mesh.set_hosts(contacts.hosts)
+            self._replica.contact_hosts = contacts.hosts
 
     # Time
 
--- a/src/nettledeal/control/replica.py
+++ b/src/nettledeal/control/replica.py
@@ -71,6 +71,8 @@
         self.primary: Primary | None = None
         self.proposer: Proposer | None = None
         self.known_replicas: dict[str, ReplicaInfo] = {}
+        # Hosts to which the replica's own host keeps connections.
+        self.contact_hosts: frozenset[str] = frozenset()
         self._heard_at: dict[str, float] = {}
         self.incarnation = random.getrandbits(INCARNATION_BITS) + 1
         self.appointment = ReaderAppointment("")
@@ -234,6 +236,14 @@
         confirmed = self.primary.confirmed_at if self.primary is not None else self.confirmed_at
         return now - confirmed
 
+    def recently_heard_hosts(self, now: float) -> set[str]:
+        """The hosts of replicas that were heard within `forget_after_s`, and so may await an answer."""
+        return {
+            host
+            for host, info in self.known_replicas.items()
+            if now - self._heard_at[info.replica_id] <= self.timing.forget_after_s
+        }
+
     def is_foreign(self, record: EpochRecord | None) -> bool:
         """Whether a record belongs to a different cluster than this replica's disk."""
         own = self.record.cluster if self.record is not None else ""
@@ -318,14 +328,16 @@
             self.outbox.send(sender.host, Decided(self.record))
 
     def _announce_itself(self, now: float) -> None:
-        """Announce this replica to the voters if it hears no primary: the primary may not know of it."""
+        """Announce this replica to all contacts while it hears no primary, which may not know of it.
+
+        Any of them that knows an epoch answers with its record, which names the voters.
+        """
         self._next_announce_at = now + self.timing.announce_interval_s
-        if self.record is None or self.primary is not None:
+        if self.primary is not None or now - self._heard_primary_at <= self.timing.silence_s:
             return
-        if now - self._heard_primary_at > self.timing.silence_s:
-            for voter in self.record.voters:
-                if voter.host != self.info.host:
-                    self.outbox.send(voter.host, Hello(self.info, self.record))
+        voters = {voter.host for voter in self.record.voters} if self.record is not None else set()
+        for host in sorted((voters | self.contact_hosts) - {self.info.host}):
+            self.outbox.send(host, Hello(self.info, self.record))
 
     # Primary role
 
--- a/tests/system/test_control_contacts.py
+++ b/tests/system/test_control_contacts.py
@@ -22,3 +22,13 @@
         )
         member_hosts += HOSTS
         await_that(lambda: is_voter(successor))
+
+
+def test_a_successor_that_reaches_only_a_backup_joins(tmp_path):
+    # Guards against a backup that drops its answer to a replica that the primary doesn't know (review/4).
+    with cluster_in(tmp_path) as cluster:
+        primary = cluster.primary()
+        backup = next(node for node in cluster.nodes.values() if node is not primary)
+        await_that(lambda: backup.confirmed_age_s() < 1.0)
+        successor = cluster.start(NEWCOMER, bootstrap=False, seeds=[backup.settings.ip])
+        await_that(lambda: is_voter(successor))
