Membership: look at the view again when evidence of a death expires

Callers saw: after two of four machines of a zone were lost for good, the other two and the backends of the zone went on being avoided, by the registry and by data planes, until some other member changed; and the budgets of the data planes went on being divided by members lost over a minute ago.

Change: a death schedules a review of the view for the moments at which it stops counting; deaths of the same half second share one.

Test: test_a_zone_is_no_longer_suspected_once_its_losses_are_old, failed before at its second wait, passes.

--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from enum import StrEnum
@@ -40,6 +41,8 @@
 REPEAT_AFTER_S = (0.1, 0.4)
 # Data-plane members that a process assumes before it has joined, so that its share of a budget starts small.
 ASSUMED_BEFORE_JOINING = 64
+# The view is reviewed when evidence of a death expires, at most once in this time.
+REVIEW_INTERVAL_S = 0.5
 _NANOSECONDS_PER_TICK = 100_000
 
 
@@ -124,8 +127,11 @@
         self._ready = Event()
         self._stopped = False
         self._clock = SteadyClock()
+        # Called when the view has changed, or what follows from it: evidence of deaths expires.
         self.on_change: list[Callable[[], None]] = []
         self._members: list[MemberInfo] | None = None
+        # Numbers of the multiples of REVIEW_INTERVAL_S, in monotonic time, at which a review is due.
+        self._scheduled_reviews: set[int] = set()
         address = settings.internal_address(_PORTS[role])
         self.member = Member(
             settings.node_name if role is Role.EDGE else settings.control_member_name,
@@ -239,8 +245,24 @@
         if action.previous_state is None and action.record.live and _is_directory(action.record):
             # A directory member that has just joined may have received an outdated record of this one.
             self._host.announce_to([Address(*action.record.address)])
+        if action.record.state == State.DEAD:
+            self._review_when_expired(DEATH_EVIDENCE_S)
+            self._review_when_expired(LOST_MEMBER_COUNTED_S)
         self._on_view_changed()
 
+    def _review_when_expired(self, after_s: float) -> None:
+        """Have the view looked at again once a death of this moment no longer counts for something."""
+        now_s = time.monotonic()
+        number = math.floor((now_s + after_s) / REVIEW_INTERVAL_S) + 1
+        if number not in self._scheduled_reviews:
+            self._scheduled_reviews.add(number)
+            gevent.spawn_later(number * REVIEW_INTERVAL_S - now_s, self._review, number)
+
+    def _review(self, number: int) -> None:
+        self._scheduled_reviews.discard(number)
+        if not self._stopped:
+            self._on_view_changed()
+
     def _on_view_changed(self) -> None:
         self._members = None
         for callback in self.on_change:
--- a/tests/system/test_membership_node.py
+++ b/tests/system/test_membership_node.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from nettledeal.common.settings import Bounds, Listen, Settings
+from nettledeal.membership import node as membership_node
 from nettledeal.membership.actions import SECOND
 from nettledeal.membership.cbor_codec import CborCodec
 from nettledeal.membership.node import LOST_MEMBER_COUNTED_S, MembershipNode, Role
@@ -113,6 +114,21 @@
     assert fleet[3].data_plane_count() == 1
 
 
+def test_a_zone_is_no_longer_suspected_once_its_losses_are_old(fleet, monkeypatch):
+    # Guards against a suspicion that lasts until some other member happens to change.
+    monkeypatch.setattr(membership_node, "DEATH_EVIDENCE_S", 1.0)
+    observer, lost = fleet[0], (fleet[1], fleet[3])
+    suspected = []
+    observer.on_change.append(lambda: suspected.append(observer.suspect_zones()))
+    for node in fleet:
+        node.start()
+    wait_until(fleet, lambda node: len(node.members()) == 4)
+    for node in lost:
+        node._host.close()
+    wait_until([observer], lambda node: suspected[-1] == {"z2"})
+    wait_until([observer], lambda node: suspected[-1] == frozenset())
+
+
 def _member_named(node, name):
     return next(member for member in node.members() if member.name == name)
 
