--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -8,7 +8,7 @@
 from nettledeal.membership.actions import SECOND, StreamRequest
 from nettledeal.membership.member_base import MemberBase
 from nettledeal.membership.packets import COMPARE, SYNC_REQUEST, Packet
-from nettledeal.membership.view import MemberRecord, State
+from nettledeal.membership.view import MemberRecord
 from nettledeal.net.address import Address
 
 # After a member held dead turns out to be alive: this many extra exchanges, about this many protocol periods
@@ -73,11 +73,11 @@
         self._exchange_views(self._sample(self.ring, 1))
 
     def _try_dead_member(self) -> None:
-        """Now and then contact a dead member, since after a partition each side holds the other one dead. The
+        """Now and then contact a dead member, since after a partition each side holds the other one dead, or
+        one that has left: it may have been restarted with seeds that lead to no member of this side. The
         probability is about their share of the group, or all live members would contact the same few."""
         self._schedule(self.now + self._jittered(10 * self.timing.period), "try_dead_member")
-        dead = {record.address for record in self.view.records.values() if record.state == State.DEAD}
-        # A seed that has left may have been restarted and know no other member.
+        dead = {record.address for record in self.view.records.values() if not record.live}
         dead |= set(self.seeds) - {self.view.records[name].address for name in self.ring}
         if dead and self.rng.random() < len(dead) / (len(dead) + len(self.ring)) + 0.01:
             self._sync_with(self.rng.choice(sorted(dead)))
