Membership: members that an operator had forgotten are still not contacted

Told apart by the accuser: a member that announces its own end has none.

Test: test_a_forgotten_member_is_not_contacted, failed before (contacted within 120 s), passes.

--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -8,7 +8,7 @@
 from nettledeal.membership.actions import SECOND, StreamRequest
 from nettledeal.membership.member_base import MemberBase
 from nettledeal.membership.packets import COMPARE, SYNC_REQUEST, Packet
-from nettledeal.membership.view import MemberRecord
+from nettledeal.membership.view import MemberRecord, State
 from nettledeal.net.address import Address
 
 # After a member held dead turns out to be alive: this many extra exchanges, about this many protocol periods
@@ -74,10 +74,10 @@
 
     def _try_dead_member(self) -> None:
         """Now and then contact a dead member, since after a partition each side holds the other one dead, or
-        one that has left: it may have been restarted with seeds that lead to no member of this side. The
-        probability is about their share of the group, or all live members would contact the same few."""
+        one that announced its end: it may have been restarted with seeds that lead to no member of this side.
+        The probability is about their share of the group, or all live members would contact the same few."""
         self._schedule(self.now + self._jittered(10 * self.timing.period), "try_dead_member")
-        dead = {record.address for record in self.view.records.values() if not record.live}
+        dead = {record.address for record in self.view.records.values() if _may_return(record)}
         dead |= set(self.seeds) - {self.view.records[name].address for name in self.ring}
         if dead and self.rng.random() < len(dead) / (len(dead) + len(self.ring)) + 0.01:
             self._sync_with(self.rng.choice(sorted(dead)))
@@ -119,3 +119,8 @@
         return self._make_packet(
             kind, sequence_number, records=recent, orders=list(self.view.orders.values())
         )
+
+
+def _may_return(record: MemberRecord) -> bool:
+    """Whether it is dead or has announced its end itself; not if an operator had it forgotten."""
+    return record.state == State.DEAD or (record.state == State.LEFT and not record.accuser)
--- a/tests/system/test_membership_seeds.py
+++ b/tests/system/test_membership_seeds.py
@@ -28,3 +28,22 @@
     for number in RELAYS:
         group.add(number)
     assert max(group.complete_after(MEMBERS, WITHIN_S)) < WITHIN_S
+
+
+def test_a_forgotten_member_is_not_contacted():
+    # Guards against trying all that count as left: an operator's `forget` ends contacts to a dead member.
+    group = Group(MEMBERS - CORES, seed=2)
+    group.run(20)
+    address = ("10.1.0.13", 7723)
+    name = group.members.pop(address).name
+    group.run(20)
+    observer = group.members["10.1.0.0", 7722]
+    known, step = observer.forget(group.now, name)
+    assert known
+    group._carry_out(observer.address, step)
+    group.run(10)
+    contacted = []
+    request = group._request
+    group._request = lambda source, action: (contacted.append(action.address), request(source, action))
+    group.run(120)
+    assert contacted and address not in contacted
