Seeds: taken from the settings file while the process runs, with SIGHUP or without

Callers saw: a core machine, edge machine or relay whose seeds were all gone when it started found nobody until it was restarted, although its settings file had named others meanwhile.

Cause: PROTOCOL.md says that SIGHUP tells of a changed settings file and that "the file may also change without any signal"; seeds were read at the start only, SIGHUP was logged and nothing else.

Evidence: a successor whose only seed runs no replica, and whose file then names one: no voter in 8 s (the test below with the check of the file left out, as before).

--- a/src/nettledeal/common/settings.py
+++ b/src/nettledeal/common/settings.py
@@ -138,9 +138,16 @@
         """This process's own address for internal traffic of one kind."""
         return Address(self.ip, self.port_range[0] + port)
 
-    def seed_addresses(self, port: InternalPort) -> list[Address]:
-        """The seeds' addresses for internal traffic of one kind."""
-        return [Address(parse_address(seed).host, self.port_range[0] + port) for seed in self.seeds]
+
+def settings_path(path: Path | None = None) -> Path:
+    """The settings file: `path`, or the one that the environment names.
+
+    Raises ServingError with INVALID_SETTINGS if neither is given.
+    """
+    named = os.environ.get(SETTINGS_VARIABLE)
+    if path is None and not named:
+        raise ServingError(ErrorCode.INVALID_SETTINGS, "read settings", f"{SETTINGS_VARIABLE}: not set")
+    return path or Path(named)
 
 
 def read_settings(path: Path | None = None) -> Settings:
@@ -148,10 +155,7 @@
 
     Raises ServingError with INVALID_SETTINGS and a reason that names the field.
     """
-    named = os.environ.get(SETTINGS_VARIABLE)
-    if path is None and not named:
-        raise ServingError(ErrorCode.INVALID_SETTINGS, "read settings", f"{SETTINGS_VARIABLE}: not set")
-    chosen = path or Path(named)
+    chosen = settings_path(path)
     try:
         with chosen.open("rb") as file:
             settings = msgspec.convert(tomllib.load(file), Settings)
--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -15,6 +15,7 @@
 from nettledeal.common.addresses import Address, InternalPort, parse_address
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.common.logs import log_event
+from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 from nettledeal.control.cluster_guard import ClusterGuard
 from nettledeal.control.contacts import Contacts, find_contacts
@@ -46,8 +47,13 @@
     the reason (FOREIGN_DATA) if the disk turns out to belong to another cluster.
     """
 
-    def __init__(self, settings: Settings, storage_dir: Path | str | None = None):
+    def __init__(
+        self, settings: Settings, storage_dir: Path | str | None = None, seeds: SeedList | None = None
+    ):
+        """`seeds`: the seeds in force, where they may change."""
         self.settings = settings
+        self._seeds = seeds or SeedList(settings)
+        self._seeds.on_change.append(self.review_contacts)
         self.on_commit: list[Callable[[ControlState], None]] = []
         self.on_reader_changed: Callable[[], None] = lambda: None
         self.on_refused: Callable[[ServingError], None] = lambda error: None
@@ -77,7 +83,6 @@
         self._cluster_guard = ClusterGuard(self._folder)
         self._last_reading_at: float | None = None
         self._contacts = Contacts()
-        self._seed_hosts = frozenset(parse_address(seed).host for seed in settings.seeds)
         self._stopped = False
 
     def start(self) -> None:
@@ -305,7 +310,7 @@
             self._replica,
             time.monotonic(),
             self._timing.forget_after_s,
-            self._seed_hosts,
+            self._seeds.hosts,
             self.known_hosts,
         )
         if contacts != self._contacts:
--- a/src/nettledeal/distribution/core_directory.py
+++ b/src/nettledeal/distribution/core_directory.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from nettledeal.common.addresses import Address, InternalPort
+from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 
 CORE_PREFIX = "core/"
@@ -46,12 +47,21 @@
 class CoreDirectory:
     """The core machines known to this process; orders them as publishers for its subscriber."""
 
-    def __init__(self, settings: Settings, member_hosts: Callable[[], Iterable[str]] = tuple):
-        """`member_hosts` returns the hosts where membership sees a control state replica."""
+    def __init__(
+        self,
+        settings: Settings,
+        member_hosts: Callable[[], Iterable[str]] = tuple,
+        seeds: SeedList | None = None,
+    ):
+        """`member_hosts` returns the hosts where membership sees a control state replica; `seeds` are those
+        in force, where they may change."""
         self._settings = settings
         self._member_hosts = member_hosts
+        self._seeds = seeds or SeedList(settings)
+        self._seeds.on_change.append(self._order_targets)
         self._cores: list[CoreMachine] = []
-        self._targets = ordered_targets(settings, [])
+        self._targets: list[Address] = []
+        self._order_targets()
 
     def cores(self) -> list[CoreMachine]:
         """Returns the core machines of the latest update."""
@@ -60,7 +70,11 @@
     def update(self, entries: Mapping[str, bytes]) -> None:
         """Replaces the known core machines with those in the entries of the `cores` source."""
         self._cores = read_cores(entries)
-        self._targets = ordered_targets(self._settings, self._cores)
+        self._order_targets()
+
+    def _order_targets(self) -> None:
+        seeds = self._seeds.addresses(InternalPort.DISTRIBUTION)
+        self._targets = ordered_targets(self._settings, self._cores, seeds)
 
     def targets(self) -> list[Address]:
         """Returns all publishers in order of preference; those known only from membership come last."""
@@ -69,15 +83,17 @@
         return self._targets + [address for address in members if address not in self._targets]
 
 
-def ordered_targets(settings: Settings, cores: Iterable[CoreMachine]) -> list[Address]:
+def ordered_targets(
+    settings: Settings, cores: Iterable[CoreMachine], seeds: Iterable[Address]
+) -> list[Address]:
     """Orders cores: own zone first, then own region, then others, then seeds that aren't among them.
 
     Ties are broken by a hash that includes the subscriber's name, which spreads subscribers over cores.
     """
     known = sorted(cores, key=lambda core: (_distance(settings, core), _rank(settings, core.address)))
     addresses = [core.address for core in known]
-    seeds = sorted(settings.seed_addresses(InternalPort.DISTRIBUTION), key=lambda seed: _rank(settings, seed))
-    return addresses + [seed for seed in seeds if seed not in addresses]
+    ranked = sorted(seeds, key=lambda seed: _rank(settings, seed))
+    return addresses + [seed for seed in ranked if seed not in addresses]
 
 
 def _distance(settings: Settings, core: CoreMachine) -> int:
--- a/src/nettledeal/membership/host.py
+++ b/src/nettledeal/membership/host.py
@@ -95,6 +95,13 @@
     def announce_to(self, addresses: Iterable[Address]) -> None:
         self._carry_out(self.member.announce_to(self.clock(), addresses))
 
+    def set_seeds(self, seeds: Iterable[Address]) -> None:
+        """Before the member has started, it takes the seeds for its start."""
+        if self.datagram_socket is None:
+            self.member.seeds = [seed for seed in seeds if seed != self.member.address]
+        else:
+            self._carry_out(self.member.set_seeds(self.clock(), seeds))
+
     def forget(self, name: str) -> bool:
         known, step = self.member.forget(self.clock(), name)
         self._carry_out(step)
--- a/src/nettledeal/membership/member.py
+++ b/src/nettledeal/membership/member.py
@@ -155,6 +155,14 @@
                 self._send(GOSSIP, address)
         return self._finish_step()
 
+    def set_seeds(self, now: Time, seeds: Iterable[Address]) -> Step:
+        """Replace the seeds; a member that knows no other contacts them at once."""
+        self._advance_clock(now)
+        self.seeds = [seed for seed in seeds if seed != self.address]
+        if not self.silent and not self.ring and self.seeds:
+            self._sync_with_seeds()
+        return self._finish_step()
+
     def leave(self, now: Time) -> Step:
         """Announce the departure to twice the usual number of members, which gossip it on, and go silent."""
         self._advance_clock(now)
--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -14,6 +14,7 @@
 
 from nettledeal.common.addresses import Address, InternalPort, parse_address
 from nettledeal.common.logs import log_event
+from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 from nettledeal.membership.actions import SECOND, Action, MemberChanged, Timing
 from nettledeal.membership.cbor_codec import CborCodec
@@ -121,8 +122,11 @@
 class MembershipNode:
     """Runs the membership protocol in greenlets of its own and answers queries from the current view."""
 
-    def __init__(self, settings: Settings, role: Role):
+    def __init__(self, settings: Settings, role: Role, seeds: SeedList | None = None):
+        """`seeds`: the seeds in force, where they may change."""
         self._settings = settings
+        self._seeds = seeds or SeedList(settings)
+        self._seeds.on_change.append(self._on_seeds_changed)
         self._role = role
         self._ready = Event()
         self._stopped = False
@@ -137,7 +141,7 @@
             settings.node_name if role is Role.EDGE else settings.control_member_name,
             tuple(address),
             CLUSTER,
-            [tuple(seed) for seed in settings.seed_addresses(InternalPort.CORE_MEMBERSHIP)],
+            self._seed_addresses(),
             timing_for(settings.heartbeat_ms),
             Random(),
             self._clock.now(),
@@ -223,6 +227,13 @@
         lost = sum(record.metadata.role == Role.EDGE for record in self._dead_since(since))
         return max(1 if self.member.joined else ASSUMED_BEFORE_JOINING, live + lost)
 
+    def _seed_addresses(self) -> list[tuple[str, int]]:
+        return [tuple(seed) for seed in self._seeds.addresses(InternalPort.CORE_MEMBERSHIP)]
+
+    def _on_seeds_changed(self) -> None:
+        if not self._stopped:
+            self._host.set_seeds(self._seed_addresses())
+
     def _join_when_ready(self) -> None:
         if self._role == Role.EDGE:
             self._ready.wait(JOIN_UNREADY_AFTER_S)
--- a/src/nettledeal/programs/commands/control_plane.py
+++ b/src/nettledeal/programs/commands/control_plane.py
@@ -4,7 +4,7 @@
 
 import argparse
 
-from nettledeal.common.settings import read_settings
+from nettledeal.common.settings import read_settings, settings_path
 from nettledeal.programs import control_plane
 
 
@@ -14,4 +14,5 @@
 
 def run(parsed: argparse.Namespace) -> int:
     """Returns once the process was told to stop."""
-    return control_plane.run(read_settings(parsed.settings_path))
+    path = settings_path(parsed.settings_path)
+    return control_plane.run(read_settings(path), path)
--- a/src/nettledeal/programs/commands/data_plane.py
+++ b/src/nettledeal/programs/commands/data_plane.py
@@ -6,7 +6,7 @@
 
 from nettledeal.common.addresses import parse_address
 from nettledeal.common.listeners import StandardSocket, early_listening_socket
-from nettledeal.common.settings import Settings, read_settings
+from nettledeal.common.settings import Settings, read_settings, settings_path
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -15,11 +15,12 @@
 
 def run(parsed: argparse.Namespace) -> int:
     """Returns once the process was told to stop. Clients that connect while it is loaded wait."""
-    settings = read_settings(parsed.settings_path)
+    path = settings_path(parsed.settings_path)
+    settings = read_settings(path)
     listener = frontend_listener(settings)
     from nettledeal.programs import data_plane
 
-    return data_plane.run(settings, listener)
+    return data_plane.run(settings, listener, path)
 
 
 def frontend_listener(settings: Settings) -> StandardSocket | None:
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from pathlib import Path
 
 import gevent
 from pyrsistent import PMap
@@ -11,6 +12,7 @@
 from nettledeal.common.addresses import Address, InternalPort
 from nettledeal.common.errors import ServingError
 from nettledeal.common.logs import log_event
+from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 from nettledeal.control.node import ControlNode
 from nettledeal.control.state import ControlState
@@ -33,9 +35,11 @@
 class ControlPlane:
     """All parts of a core machine's process and what flows between them."""
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, settings_file: Path | None = None):
+        """`settings_file` is checked for other seeds; without it they stay as they are."""
         self.settings = settings
-        self.node = ControlNode(settings)
+        self.seeds = SeedList(settings, settings_file)
+        self.node = ControlNode(settings, seeds=self.seeds)
         self.node.on_commit.append(self._publish_control)
         self.on_failure: Callable[[ServingError], None] = lambda error: None
         self.node.on_refused = lambda error: self.on_failure(error)
@@ -53,7 +57,7 @@
             [CATALOGUE_SOURCE],
             self._relay_catalogue,
         )
-        self.membership = MembershipNode(settings, Role.CORE)
+        self.membership = MembershipNode(settings, Role.CORE, self.seeds)
         self.node.known_hosts = self.membership.core_hosts
         self.membership.on_change.append(self.node.review_contacts)
         self.registry = RegistryServer(settings, self.membership) if settings.listen.directory else None
@@ -84,9 +88,11 @@
         self.operator_api.start()
         self._confirming = gevent.spawn(self._confirm)
         self._shares.start()
+        self.seeds.start()
 
     def stop(self) -> None:
         """Hand over what this machine leads, then end."""
+        self.seeds.stop()
         self.membership.leave()
         self._shares.stop()
         self.operator_api.stop()
@@ -97,8 +103,9 @@
         self.membership.stop()
 
     def reload(self) -> None:
-        """Note a changed settings file; nothing in it concerns a running control plane."""
+        """Take the seeds of a changed settings file; the rest of it serves the next start."""
         log_event("process:reloaded")
+        self.seeds.check()
 
     def _publish_control(self, state: ControlState) -> None:
         entries = control_entries(state.entries)
@@ -151,10 +158,10 @@
         self.cores.confirm(now_s)
 
 
-def run(settings: Settings) -> int:
+def run(settings: Settings, settings_file: Path | None = None) -> int:
     """Run the control plane until it is told to stop; without a replica where the machine may have none."""
     if settings.keeps_control_state:
-        return run_plane(settings, lambda: ControlPlane(settings))
+        return run_plane(settings, lambda: ControlPlane(settings, settings_file))
     from nettledeal.programs.control_relay import ControlRelay
 
-    return run_plane(settings, lambda: ControlRelay(settings))
+    return run_plane(settings, lambda: ControlRelay(settings, settings_file))
--- a/src/nettledeal/programs/data_plane.py
+++ b/src/nettledeal/programs/data_plane.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import gevent
 from gevent.event import Event
 from pyrsistent import PMap
 
 from nettledeal.common.listeners import StandardSocket
 from nettledeal.common.logs import log_event
+from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 from nettledeal.dataplane.agent import DataPlane
 from nettledeal.dataplane.selection import BackendReport
@@ -29,13 +32,20 @@
 class EdgeProcess:
     """All parts of an edge machine's process and what flows between them."""
 
-    def __init__(self, settings: Settings, listener: StandardSocket | None = None):
-        """`listener`: a socket that listens for clients already."""
+    def __init__(
+        self,
+        settings: Settings,
+        listener: StandardSocket | None = None,
+        settings_file: Path | None = None,
+    ):
+        """`listener`: a socket that listens for clients already. `settings_file` is checked for other seeds;
+        without it they stay as they are."""
         self.settings = settings
+        self.seeds = SeedList(settings, settings_file)
         self._listener = listener
         self.data_plane = DataPlane(settings)
-        self.membership = MembershipNode(settings, Role.EDGE)
-        self.directory = CoreDirectory(settings, self.membership.core_hosts)
+        self.membership = MembershipNode(settings, Role.EDGE, self.seeds)
+        self.directory = CoreDirectory(settings, self.membership.core_hosts, self.seeds)
         self.membership.on_change.append(self._members_changed)
         self._counting: gevent.Greenlet | None = None
         self.data_plane.on_ready_changed = self.membership.set_ready
@@ -55,9 +65,11 @@
         self.subscriber.start()
         self.data_plane.start(self._listener)
         self._reporting = gevent.spawn(self._report)
+        self.seeds.start()
 
     def stop(self) -> None:
         """Have clients sent elsewhere, finish what was taken, then end."""
+        self.seeds.stop()
         self.membership.leave()
         self.data_plane.stop()
         if self._reporting is not None:
@@ -66,8 +78,9 @@
         self.membership.stop()
 
     def reload(self) -> None:
-        """Note a changed settings file; seeds in it serve the next start."""
+        """Take the seeds of a changed settings file; the rest of it serves the next start."""
         log_event("process:reloaded")
+        self.seeds.check()
 
     def _apply(self, source: str, version: tuple[int, ...], entries: PMap) -> None:
         if source == CONTROL_SOURCE:
@@ -103,6 +116,6 @@
     return BackendFindings(list(report.failed), list(report.replaced), dict(report.queues))
 
 
-def run(settings: Settings, listener: StandardSocket | None = None) -> int:
+def run(settings: Settings, listener: StandardSocket | None = None, settings_file: Path | None = None) -> int:
     """Run the data plane until it is told to stop; clients come in through `listener`, if given."""
-    return run_plane(settings, lambda: EdgeProcess(settings, listener))
+    return run_plane(settings, lambda: EdgeProcess(settings, listener, settings_file))
--- a/tests/system/control_cluster.py
+++ b/tests/system/control_cluster.py
@@ -4,15 +4,18 @@
 
 from collections.abc import Iterable
 from contextlib import contextmanager
+from pathlib import Path
 
 import gevent
 import msgspec
 from gevent import socket
 
 from nettledeal.common.errors import ServingError
+from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Bounds, FaultTolerance, Listen, Settings
 from nettledeal.control.node import ControlNode
 from nettledeal.control.state import ControlState, Outcome
+from nettledeal.standins.layout import write_settings
 
 HOSTS = ["127.0.7.1", "127.0.7.2", "127.0.7.3"]
 PATIENCE_S = 8.0
@@ -67,14 +70,23 @@
         seeds: Iterable[str] = HOSTS,
         member_hosts: Iterable[str] = (),
         tolerance: FaultTolerance = ONE_MACHINE,
+        settings_file: Path | None = None,
     ) -> ControlNode:
-        """Start a replica; `member_hosts` is what membership names, and may change later."""
+        """Start a replica.
+
+        `member_hosts` is what membership names, and may change later; `settings_file` is written with the
+        settings, and checked for other seeds.
+        """
         settings = msgspec.structs.replace(
             settings_for(host, self.port, bootstrap),
             seeds=[f"{seed}:9000" for seed in seeds],
             fault_tolerance=tolerance,
         )
-        node = ControlNode(settings, self.folder / f"{host}-{disk}")
+        if settings_file is not None:
+            write_settings(settings, settings_file)
+        seed_list = SeedList(settings, settings_file)
+        seed_list.start()
+        node = ControlNode(settings, self.folder / f"{host}-{disk}", seed_list)
         node.known_hosts = lambda: tuple(member_hosts)
         node.start()
         self.nodes[host] = node
--- a/tests/system/test_control_contacts.py
+++ b/tests/system/test_control_contacts.py
@@ -32,3 +32,13 @@
         await_that(lambda: backup.confirmed_age_s() < 1.0)
         successor = cluster.start(NEWCOMER, bootstrap=False, seeds=[backup.settings.ip])
         await_that(lambda: is_voter(successor))
+
+
+def test_a_successor_takes_seeds_that_its_settings_file_names_later(tmp_path):
+    # Guards against seeds that are read at the start only: the file may change without any signal.
+    with cluster_in(tmp_path) as cluster:
+        cluster.primary()
+        path = tmp_path / "successor.toml"
+        successor = cluster.start(NEWCOMER, bootstrap=False, seeds=[HOST_WITHOUT_REPLICA], settings_file=path)
+        path.write_text(path.read_text().replace(HOST_WITHOUT_REPLICA, HOSTS[0]))
+        await_that(lambda: is_voter(successor))
--- a/tests/system/test_control_relay.py
+++ b/tests/system/test_control_relay.py
@@ -112,8 +112,8 @@
 )
 def test_only_a_machine_with_a_disk_that_counts_has_a_replica(monkeypatch, data_dir, counts, replica):
     made = []
-    monkeypatch.setattr(control_plane, "ControlPlane", lambda _: made.append("replica"))
-    monkeypatch.setattr("nettledeal.programs.control_relay.ControlRelay", lambda _: made.append("relay"))
+    monkeypatch.setattr(control_plane, "ControlPlane", lambda *_: made.append("replica"))
+    monkeypatch.setattr("nettledeal.programs.control_relay.ControlRelay", lambda *_: made.append("relay"))
     monkeypatch.setattr(control_plane, "run_plane", lambda _, build: build())
     control_plane.run(settings(data_dir=data_dir, counts_for_quorum=counts))
     assert made == ["replica" if replica else "relay"]
--- a/tests/system/test_membership_seeds.py
+++ b/tests/system/test_membership_seeds.py
@@ -47,3 +47,17 @@
     group._request = lambda source, action: (contacted.append(action.address), request(source, action))
     group.run(120)
     assert contacted and address not in contacted
+
+
+def test_a_member_whose_seeds_are_gone_joins_through_others_once_it_is_told_of_them():
+    # Guards against seeds that are taken at the start only.
+    group = Group(MEMBERS - CORES, seed=3)
+    group.run(20)
+    seeds, group.seeds = group.seeds, [("10.9.0.1", 7722)]
+    address = group.add(MEMBERS)
+    group.run(20)
+    member = group.members[address]
+    assert len(member.live_members()) == 1
+    group._carry_out(address, member.set_seeds(group.now, seeds))
+    group.run(1)
+    assert len(member.live_members()) == MEMBERS + 1
