--- a/src/nettledeal/standins/clients.py
+++ b/src/nettledeal/standins/clients.py
@@ -154,16 +154,17 @@
             return Outcome(kind.name, Ending.LOST, 0, detail=str(error)), None
         finally:
             client.close()
-        return _check_response(kind, request_id, response, started_s)
+        return check_response(kind, request_id, response, started_s)
 
     def _avoid(self, address: Address) -> None:
         self.addresses = [other for other in self.addresses if other != address]
         self.addresses_expire_at_s = 0.0
 
 
-def _check_response(
+def check_response(
     kind: RequestKind, request_id: str, response: HttpResponse, started_s: float
 ) -> tuple[Outcome, float | None]:
+    """How a request that got this response ended, and when the client may try again, in seconds."""
     outcome = Outcome(kind.name, Ending.SERVED, 0)
     if response.body_started_at_s is not None:
         outcome.first_part_s = response.body_started_at_s - started_s
--- a/src/nettledeal/standins/processes.py
+++ b/src/nettledeal/standins/processes.py
@@ -104,6 +104,10 @@
         """Resume it after `freeze`."""
         self._signal(signal.SIGCONT)
 
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        self._signal(number)
+
     def wait(self, within_s: float) -> int | None:
         """Its exit status, or None if it had to be killed after `within_s`."""
         try:
--- /dev/null
+++ b/src/nettledeal/standins/soak.py
@@ -0,0 +1,223 @@
+"""Soaks of a whole system on loopback: overlapping losses, signals and changes under lasting connections.
+
+`python -m nettledeal.standins.soak --first 1 --seeds 3`: exits with 1 if something was broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import gevent
+import msgspec
+
+from nettledeal.common.addresses import parse_address
+from nettledeal.common.errors import ServingError
+from nettledeal.common.settings import Bounds
+from nettledeal.operator_api.client import OperatorClient
+from nettledeal.standins.checks import broken_rules
+from nettledeal.standins.layout import Network
+from nettledeal.standins.processes import PROGRAM, wait_until
+from nettledeal.standins.scenario import BRIEF, CARD, QUESTION, make_configuration
+from nettledeal.standins.soak_clients import KeptClient, LostAnswer
+from nettledeal.standins.soak_events import SoakEvents
+from nettledeal.standins.soak_system import SoakSystem
+
+KINDS = (BRIEF, QUESTION, CARD)
+BOUNDS = Bounds(grace_s=8.0)
+# What the pages allow a system to recover in, and a machine to catch up.
+RECOVER_WITHIN_S = BOUNDS.recovery_s + BOUNDS.catch_up_s + 2 * BOUNDS.contact_ms / 1000
+START_WITHIN_S = 60.0
+MAX_PAUSE_S = 1.0
+OTHER_STREAMS = 2
+# A request that was not passed on may be lost if the connection ends this soon after it was sent.
+LOSS_SLACK_S = 1.0
+
+
+@dataclass
+class SoakReport:
+    """What one soak did and found."""
+
+    seed: int
+    events: list[str] = field(default_factory=list)
+    served: int = 0
+    lost: int = 0
+    broken: list[str] = field(default_factory=list)
+
+    def line(self) -> str:
+        """One line for people."""
+        return (
+            f"seed {self.seed}: {len(self.events)} events, {self.served} served, "
+            f"{self.lost} without an answer: {self.broken or 'nothing broken'}"
+        )
+
+
+class Soak:
+    """One run, determined by its seed as far as real processes are."""
+
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        edges: int = 3,
+        relays: int = 3,
+        network: int = 0,
+        program: Path = PROGRAM,
+    ):
+        self.random = Random(f"{seed} soak")
+        self.report = SoakReport(seed)
+        self.system = SoakSystem(folder, Network.of_this_process(network), edges, relays, BOUNDS, program)
+        self.events = SoakEvents(self.system, self.random, RECOVER_WITHIN_S)
+        self.clients = [
+            KeptClient(machine, parse_address(machine.settings.listen.frontend), kind, self._fork())
+            for machine in self.system.edges
+            for kind in KINDS
+        ]
+
+    def run(self, length_s: float) -> SoakReport:
+        """Run events for this long, let the system recover, and check it."""
+        try:
+            self._bring_up()
+            greenlets = [gevent.spawn(client.run) for client in self.clients]
+            self._run_events(time.monotonic() + length_s)
+            self._check_recovered()
+            gevent.killall(greenlets)
+            self._check_requests()
+        except ServingError as error:
+            self.report.broken.append(str(error))
+        finally:
+            self.system.stop()
+        return self.report
+
+    def _fork(self) -> Random:
+        return Random(self.random.getrandbits(64))
+
+    def _bring_up(self) -> None:
+        self.system.start()
+        self.events.put_configuration()
+        for machine in self.system.edges:
+            machine.process.wait_for("dataplane:ready", START_WITHIN_S, lambda event: event["ready"] is True)
+        self.events.wait_settled()
+
+    # Events
+
+    def _run_events(self, until: float) -> None:
+        streams = [gevent.spawn(self._run_stream, until, self.events.core_events, self.events.wait_settled)]
+        streams += [
+            gevent.spawn(self._run_stream, until, self.events.other_events, lambda: None)
+            for _ in range(OTHER_STREAMS)
+        ]
+        gevent.joinall(streams)
+
+    def _run_stream(
+        self, until: float, choices: Callable[[], list[Callable[[], None]]], settle: Callable[[], None]
+    ) -> None:
+        """Run one event after the other; one that fails is reported, and ends the stream."""
+        while time.monotonic() < until and not self.report.broken:
+            event = self.random.choice(choices())
+            self.report.events.append(event.__name__)
+            try:
+                event()
+                settle()
+            except ServingError as error:
+                self.report.broken.append(f"{event.__name__}: {error}")
+            gevent.sleep(MAX_PAUSE_S * self.random.random())
+
+    # Checks
+
+    def _check_recovered(self) -> None:
+        self._await("all core machines are in sync", lambda: not self.events.unsettled_cores())
+        self._await("every core machine knows all members", self._members_are_known)
+        self._await("the configuration is read back everywhere", self._configuration_is_served)
+        self._await("every edge machine serves", self._edges_serve)
+
+    def _await(self, what: str, condition: Callable[[], bool]) -> None:
+        try:
+            wait_until(condition, RECOVER_WITHIN_S, what)
+        except ServingError as error:
+            self.report.broken.append(str(error))
+
+    def _members_are_known(self) -> bool:
+        expected = sorted(machine.member_name for machine in self.system.machines)
+        reports = [self.events.status(machine) for machine in self.system.cores]
+        return all(
+            report is not None and sorted(member.name for member in report.members) == expected
+            for report in reports
+        )
+
+    def _configuration_is_served(self) -> bool:
+        expected = make_configuration(
+            self.events.generation, with_extra_route=bool(self.events.generation % 2)
+        )
+        try:
+            return all(
+                OperatorClient([address], 2.0).get_configuration().body == expected
+                for address in self.system.control_addresses
+            )
+        except ServingError:
+            return False
+
+    def _edges_serve(self) -> bool:
+        before = {client: client.served for client in self.clients}
+        gevent.sleep(0.5)
+        return all(client.served > served for client, served in before.items())
+
+    def _check_requests(self) -> None:
+        self.report.served = sum(client.served for client in self.clients)
+        lost = [answer for client in self.clients for answer in client.lost]
+        self.report.lost = len(lost)
+        run = {run.request_id for backend in self.system.backends for run in backend.runs}
+        self.report.broken += [_describe(answer) for answer in lost if _is_broken(answer, run)]
+        self.report.broken += [text for client in self.clients for text in client.wrong]
+        self.report.broken += broken_rules([], self.clients, self.system.backends, KINDS)
+
+
+def _is_broken(answer: LostAnswer, run: set[str]) -> bool:
+    """Whether a machine that was neither killed nor frozen should have answered."""
+    return not answer.unclean and (answer.request_id in run or answer.waited_s > LOSS_SLACK_S)
+
+
+def _describe(answer: LostAnswer) -> str:
+    return f"lost by {answer.machine.process.name} after {answer.waited_s:.3f} s: {answer.reason}"
+
+
+def main() -> int:
+    """Run the soaks of some seeds, one after the other."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--length", type=float, default=20.0, help="seconds of events")
+    parser.add_argument("--edges", type=int, default=3)
+    parser.add_argument("--relays", type=int, default=3)
+    parser.add_argument("--keep", type=Path, help="write the logs of a broken run to this folder")
+    parsed = parser.parse_args()
+    broken = 0
+    for seed in range(parsed.first, parsed.first + parsed.seeds):
+        with tempfile.TemporaryDirectory(prefix="nettledeal-soak-") as folder:
+            soak = Soak(seed, Path(folder), parsed.edges, parsed.relays)
+            report = soak.run(parsed.length)
+        print(report.line(), flush=True)
+        if report.broken and parsed.keep is not None:
+            _write_logs(soak, parsed.keep / str(seed))
+        broken += bool(report.broken)
+    print(f"{parsed.seeds} soaks, {broken} with something broken")
+    return int(broken > 0)
+
+
+def _write_logs(soak: Soak, folder: Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "events").write_text("\n".join(soak.report.events))
+    for machine in soak.system.machines:
+        lines = [msgspec.json.encode(event) for event in machine.process.events]
+        lines += [line.encode() for line in machine.process.other_lines]
+        (folder / machine.process.name).write_bytes(b"\n".join(lines))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/nettledeal/standins/soak_events.py
@@ -0,0 +1,293 @@
+"""What happens to a system during a soak: signals, losses, restarts and changes, drawn by a seed."""
+
+from __future__ import annotations
+
+import shutil
+from collections.abc import Callable
+from contextlib import suppress
+from random import Random
+from signal import SIGHUP
+
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from nettledeal.common.errors import ErrorCode, ServingError
+from nettledeal.operator_api.client import OperatorClient
+from nettledeal.operator_api.status import StatusReport
+from nettledeal.standins.layout import Zone
+from nettledeal.standins.processes import wait_until
+from nettledeal.standins.scenario import make_configuration
+from nettledeal.standins.soak_system import Machine, SoakSystem
+
+ORDER_WITHIN_S = 20.0
+STATUS_WITHIN_S = 2.0
+STOP_WITHIN_S = 12.0
+MAX_FREEZE_S = 3.0
+MAX_DOWN_S = 2.0
+UNREACHABLE_HOST = 250
+Event = Callable[[], None]
+
+
+class SoakEvents:
+    """The events of one soak. Of the core machines one at a time is lost, as the tolerance allows."""
+
+    def __init__(self, system: SoakSystem, random: Random, recover_within_s: float):
+        self.system, self.random = system, random
+        self.recover_within_s = recover_within_s
+        self.generation = 0
+        self._busy: set[Machine] = set()
+        self._putting = BoundedSemaphore()
+
+    # Observation
+
+    def operator(self) -> OperatorClient:
+        """A client that asks the machines that serve operators now, in random order."""
+        addresses = self.system.control_addresses
+        return OperatorClient(self.random.sample(addresses, len(addresses)), ORDER_WITHIN_S)
+
+    def status(self, machine: Machine) -> StatusReport | None:
+        """A core machine's status page, None if it doesn't answer."""
+        try:
+            return OperatorClient([machine.control_address], STATUS_WITHIN_S).status()
+        except ServingError:
+            return None
+
+    def unsettled_cores(self) -> list[str]:
+        """The core machines that don't know all core machines that run as voters in sync."""
+        running = sorted(machine.settings.ip for machine in self.system.cores)
+        return [
+            machine.process.name
+            for machine in self.system.cores
+            if _in_sync_hosts(self.status(machine)) != running
+        ]
+
+    def wait_settled(self) -> None:
+        """Wait until all core machines are voters and in sync; raises ServingError (TIMED_OUT)."""
+        wait_until(lambda: not self.unsettled_cores(), self.recover_within_s, "all core machines are in sync")
+
+    # Core machines, one at a time
+
+    def core_events(self) -> list[Event]:
+        """The events that take a core machine away."""
+        return [
+            self.kill_core,
+            self.stop_core,
+            self.freeze_core,
+            self.wipe_core,
+            self.wipe_core,
+            self.replace_dead_core,
+            self.replace_dead_core,
+            self.replace_stopped_core,
+            self.add_core_then_stop,
+            self.kill_all_cores,
+        ]
+
+    def kill_core(self) -> None:
+        """Kill a core machine and start it again."""
+        self._restart_killed([self._any_core()])
+
+    def kill_all_cores(self) -> None:
+        """Kill all core machines at once; their disks are kept."""
+        self._restart_killed(self.system.cores)
+
+    def stop_core(self) -> None:
+        """Stop a core machine in order and start it again."""
+        core = self._any_core()
+        self._stop(core)
+        core.start()
+
+    def freeze_core(self) -> None:
+        """Suspend a core machine for some time."""
+        core = self._any_core()
+        core.process.freeze()
+        gevent.sleep(MAX_FREEZE_S * self.random.random())
+        core.process.thaw()
+
+    def wipe_core(self) -> None:
+        """A core machine loses its disk."""
+        core = self._any_core()
+        core.process.kill()
+        shutil.rmtree(core.settings.data_dir)
+        self._pause()
+        core.start()
+
+    def replace_dead_core(self) -> None:
+        """A core machine is gone for good; another comes later."""
+        core = self._any_core()
+        core.process.kill()
+        self._pause()
+        self.system.add_successor(core)
+
+    def replace_stopped_core(self) -> None:
+        """A core machine is stopped for good, then another comes."""
+        core = self._any_core()
+        self._stop(core)
+        self.system.add_successor(core)
+
+    def add_core_then_stop(self) -> None:
+        """Another core machine comes, then the earlier one is stopped for good."""
+        core = self._any_core()
+        successor = self.system.add_successor(core)
+        wait_until(
+            lambda: successor.settings.ip in _in_sync_hosts(self.status(successor)),
+            self.recover_within_s,
+            "the new core machine is in sync",
+        )
+        self._stop(core)
+
+    # Everything else, overlapping
+
+    def other_events(self) -> list[Event]:
+        """The events that take no core machine away."""
+        return [
+            self.stop_edge,
+            self.stop_edge,
+            self.kill_edge,
+            self.freeze_edge,
+            self.stop_relays,
+            self.kill_relays,
+            self.hang_up,
+            self.exchange_seeds,
+            self.exchange_seeds,
+            self.lose_seeds,
+            self.put_configuration,
+            self.put_configuration,
+            self.evacuate,
+        ]
+
+    def stop_edge(self) -> None:
+        """Stop an edge machine in order and start it again."""
+        self._restart_stopped(self._reserve(self.system.edges, 1))
+
+    def kill_edge(self) -> None:
+        """Kill an edge machine and start it again."""
+        self._while_reserved(self._reserve(self.system.edges, 1), self._restart_killed)
+
+    def freeze_edge(self) -> None:
+        """Suspend an edge machine for some time."""
+
+        def freeze(machines: list[Machine]) -> None:
+            for machine in machines:
+                machine.unclean = True
+                machine.process.freeze()
+            gevent.sleep(MAX_FREEZE_S * self.random.random())
+            for machine in machines:
+                machine.process.thaw()
+
+        self._while_reserved(self._reserve(self.system.edges, 1), freeze)
+
+    def stop_relays(self) -> None:
+        """Stop some or all relays in order, and start them together."""
+        self._restart_stopped(self._reserve(self.system.relays, self._any_number(self.system.relays)))
+
+    def kill_relays(self) -> None:
+        """Kill some or all relays, and start them together."""
+        count = self._any_number(self.system.relays)
+        self._while_reserved(self._reserve(self.system.relays, count), self._restart_killed)
+
+    def hang_up(self) -> None:
+        """Send SIGHUP to some processes, several times."""
+        for _ in range(3):
+            for machine in self.random.sample(self.system.machines, self._any_number(self.system.machines)):
+                self._signal_hang_up(machine)
+            gevent.sleep(0.05)
+
+    def exchange_seeds(self) -> None:
+        """Name relays, or one core machine and gone ones, as seeds; some processes are told by SIGHUP."""
+        relays = [machine.settings.ip for machine in self.system.relays]
+        core = self.random.choice(self.system.cores).settings.ip
+        cores = [machine.settings.ip for machine in self.system.cores]
+        seeds = self.random.choice((relays, [core, *self._gone_hosts(2)], cores, relays[:1]))
+        self.system.name_seeds(seeds)
+        if self.random.random() < 0.5:
+            self.hang_up()
+
+    def lose_seeds(self) -> None:
+        """For a while all seeds that the settings name are gone."""
+        self.system.name_seeds(self._gone_hosts(3))
+        gevent.sleep(1.0 + 3.0 * self.random.random())
+        self.exchange_seeds()
+
+    def put_configuration(self) -> None:
+        """Put the next configuration, once the one before is acknowledged."""
+        with self._putting:
+            generation = self.generation + 1
+            body = make_configuration(generation, with_extra_route=bool(generation % 2))
+            answer = self.operator().put_configuration(body, self.generation)
+            if answer.status != 200:
+                raise ServingError(ErrorCode.UNAVAILABLE, "put configuration", f"status {answer.status}")
+            self.generation = generation
+
+    def evacuate(self) -> None:
+        """Evacuate a zone and restore it."""
+        zone = str(self.random.choice(list(Zone)))
+        self.operator().set_evacuation(zone, True)
+        gevent.sleep(self.random.random())
+        self.operator().set_evacuation(zone, False)
+
+    # Helpers
+
+    def _any_core(self) -> Machine:
+        return self.random.choice(self.system.cores)
+
+    def _any_number(self, machines: list[Machine]) -> int:
+        return self.random.choice((1, len(machines)))
+
+    def _gone_hosts(self, count: int) -> list[str]:
+        return [self.system.layout.network.host(UNREACHABLE_HOST + number) for number in range(count)]
+
+    def _pause(self) -> None:
+        gevent.sleep(MAX_DOWN_S * self.random.random())
+
+    def _reserve(self, machines: list[Machine], count: int) -> list[Machine]:
+        """Some machines to which nothing else is happening; one machine at least stays untouched."""
+        free = [machine for machine in machines if machine not in self._busy]
+        chosen = self.random.sample(free, min(count, len(free)))
+        self._busy.update(chosen)
+        return chosen
+
+    def _while_reserved(self, machines: list[Machine], act: Callable[[list[Machine]], None]) -> None:
+        try:
+            act(machines)
+        finally:
+            self._busy.difference_update(machines)
+
+    def _restart_killed(self, machines: list[Machine]) -> None:
+        for machine in machines:
+            machine.unclean = True
+            machine.process.kill()
+        self._pause()
+        for machine in machines:
+            machine.start()
+
+    def _restart_stopped(self, machines: list[Machine]) -> None:
+        def restart(reserved: list[Machine]) -> None:
+            gevent.joinall([gevent.spawn(self._stop, machine) for machine in reserved], raise_error=True)
+            for machine in reserved:
+                machine.start()
+
+        self._while_reserved(machines, restart)
+
+    def _stop(self, machine: Machine) -> None:
+        """SIGTERM once the process serves; raises ServingError if it doesn't end with status 0."""
+        machine.process.wait_for("process:started", self.recover_within_s)
+        machine.process.terminate()
+        status = machine.process.wait(STOP_WITHIN_S)
+        if status != 0:
+            raise ServingError(ErrorCode.TIMED_OUT, "stop", f"status {status}", machine.process.name)
+
+    def _signal_hang_up(self, machine: Machine) -> None:
+        # Before it serves, the signal would end the process (issue 68).
+        with suppress(ServingError):
+            machine.process.wait_for("process:started", 0.0)
+            machine.process.send(SIGHUP)
+
+
+def _in_sync_hosts(report: StatusReport | None) -> list[str]:
+    """The hosts of the voters that are in sync; none unless all voters are."""
+    if report is None:
+        return []
+    hosts = dict(voter.split("@") for voter in report.epoch.voters)
+    if set(hosts) != set(report.epoch.in_sync):
+        return []
+    return sorted(hosts.values())
--- /dev/null
+++ b/src/nettledeal/standins/soak_system.py
@@ -0,0 +1,182 @@
+"""A system for soaks: machines that are replaced, relays beside edges, and settings whose seeds change."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from nettledeal.common.addresses import Address
+from nettledeal.common.settings import Bounds, Listen, Settings
+from nettledeal.standins.backend import EngineSpeed, StandInBackend
+from nettledeal.standins.layout import Layout, MachineClass, Network, Port, Zone, write_settings
+from nettledeal.standins.platform_list import PlatformList
+from nettledeal.standins.processes import PROGRAM, SystemProcess
+from nettledeal.standins.scenario import make_backends
+
+STOP_TIMEOUT_S = 15.0
+BACKEND_SPEED = EngineSpeed(plain_answer_s=0.02, event_interval_s=0.01)
+
+
+@dataclass(frozen=True, slots=True)
+class SoakLayout(Layout):
+    """A layout whose settings name the seeds of the moment; relays run on the first edge machines."""
+
+    relays: int = 3
+    seeds: list[str] = field(default_factory=list)
+
+    def relay_settings(self, number: int) -> Settings:
+        """The settings of the control process of an edge machine."""
+        edge = self.edge_settings(number)
+        listen = Listen(
+            control_plane=f"{edge.ip}:{int(Port.CONTROL_PLANE)}", directory=f"{edge.ip}:{int(Port.DIRECTORY)}"
+        )
+        return msgspec.structs.replace(
+            edge, role=str(MachineClass.CORE), serves=["control_plane", "registry"], listen=listen
+        )
+
+    def relay_host(self, number: int) -> str:
+        """The address of the machine of a relay."""
+        return self.edge_settings(number).ip
+
+    def _settings(self, name: str, role: MachineClass, host: str, zone: Zone, listen: Listen) -> Settings:
+        settings = super(SoakLayout, self)._settings(name, role, host, zone, listen)
+        return msgspec.structs.replace(settings, seeds=list(self.seeds) or settings.seeds)
+
+
+@dataclass(eq=False)
+class Machine:
+    """One process and how its settings are made.
+
+    `bootstrap` holds until the first start. `unclean`: it was killed or frozen, so answers may be lost.
+    """
+
+    process: SystemProcess
+    make_settings: Callable[[], Settings]
+    bootstrap: bool = False
+    unclean: bool = False
+
+    @property
+    def settings(self) -> Settings:
+        """Its settings, with the seeds of this moment."""
+        return msgspec.structs.replace(self.make_settings(), bootstrap=self.bootstrap)
+
+    @property
+    def member_name(self) -> str:
+        """Its name among the members."""
+        settings = self.settings
+        return settings.node_name if settings.listen.frontend else settings.control_member_name
+
+    @property
+    def control_address(self) -> Address:
+        """Where it serves operators."""
+        return Address(self.settings.ip, Port.CONTROL_PLANE)
+
+    def write_settings(self) -> None:
+        """Write its settings file."""
+        write_settings(self.settings, self.process.settings_path)
+
+    def start(self) -> None:
+        """Start it with the settings of this moment."""
+        if self.settings.data_dir is not None:
+            Path(self.settings.data_dir).mkdir(parents=True, exist_ok=True)
+        self.write_settings()
+        self.process.start()
+        self.bootstrap = False
+
+
+class SoakSystem:
+    """All processes and stand-ins of one soak; stops everything that it started."""
+
+    def __init__(
+        self, folder: Path, network: Network, edges: int, relays: int, bounds: Bounds, program: Path = PROGRAM
+    ):
+        self.folder, self._program = folder, program
+        self.layout = SoakLayout(network, edges=edges, relays=relays, bounds=bounds)
+        self._core_count = self.layout.cores
+        self._started: list[SystemProcess] = []
+        self.cores = [self._make_core(number, number, True) for number in range(self.layout.cores)]
+        self.edges = [self._make_edge(number) for number in range(edges)]
+        self.relays = [self._make_relay(number) for number in range(relays)]
+        self.backends: list[StandInBackend] = make_backends(self.layout, BACKEND_SPEED, BACKEND_SPEED)
+        self._platform = PlatformList(
+            self.layout.platform_address, [backend.catalogue_entry for backend in self.backends]
+        )
+
+    @property
+    def machines(self) -> list[Machine]:
+        """All processes that are to run now."""
+        return [*self.cores, *self.edges, *self.relays]
+
+    @property
+    def control_addresses(self) -> list[Address]:
+        """Where operators are served now: core machines and relays."""
+        return [machine.control_address for machine in (*self.cores, *self.relays)]
+
+    @property
+    def directories(self) -> list[Address]:
+        """The directories of the relays, whose addresses stay the same."""
+        return [Address(machine.settings.ip, Port.DIRECTORY) for machine in self.relays]
+
+    def start(self) -> None:
+        """Start the stand-ins and all processes; returns at once."""
+        for standin in (self._platform, *self.backends):
+            standin.start()
+        for machine in self.machines:
+            machine.start()
+
+    def add_successor(self, gone: Machine) -> Machine:
+        """Start a core machine with an empty disk at a new address in place of another one."""
+        number, self._core_count = self._core_count, self._core_count + 1
+        successor = self._make_core(number, self._zone_number(gone), False)
+        self.cores[self.cores.index(gone)] = successor
+        successor.start()
+        return successor
+
+    def name_seeds(self, seeds: Sequence[str]) -> None:
+        """Have all settings files name these seeds; no process is signalled."""
+        self.layout.seeds[:] = [f"{seed}:{int(Port.CONTROL_PLANE)}" for seed in seeds]
+        for machine in self.machines:
+            machine.write_settings()
+
+    def stop(self) -> None:
+        """Stop everything, also machines that were to be replaced."""
+        running = [process for process in self._started if process.running]
+        for process in running:
+            process.thaw()
+            process.terminate()
+        for process in running:
+            process.wait(STOP_TIMEOUT_S)
+        for standin in (self._platform, *self.backends):
+            standin.stop()
+
+    def _zone_number(self, core: Machine) -> int:
+        return list(Zone).index(Zone(core.settings.zone))
+
+    def _make_core(self, number: int, zone_number: int, bootstrap: bool) -> Machine:
+        zone = self.layout.core_zone(zone_number)
+        machine = self._make_machine(
+            f"core-{number + 1}",
+            MachineClass.CORE,
+            lambda: self.layout.core_settings(number, self.folder, False, zone),
+        )
+        machine.bootstrap = bootstrap
+        return machine
+
+    def _make_edge(self, number: int) -> Machine:
+        return self._make_machine(
+            f"edge-{number + 1}", MachineClass.EDGE, lambda: self.layout.edge_settings(number)
+        )
+
+    def _make_relay(self, number: int) -> Machine:
+        return self._make_machine(
+            f"relay-{number + 1}", MachineClass.CORE, lambda: self.layout.relay_settings(number)
+        )
+
+    def _make_machine(self, name: str, role: MachineClass, make_settings: Callable[[], Settings]) -> Machine:
+        process = SystemProcess(name, str(role), self.folder / f"{name}.toml")
+        process.program = self._program
+        self._started.append(process)
+        return Machine(process, make_settings)
