Membership: a member that has not joined tries its seeds at least every 2 to 3 s

Callers saw: a process whose seeds had all been down for a while joined up to 12 s after they were back; until then a core machine did not catch up, and an edge machine without a core machine among its seeds was not ready.

Cause: the pause between attempts doubled up to 8 s, jittered by half; catch_up_s is 4 s.

Change: the pause grows to 2 s.

--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -15,7 +15,7 @@
 # apart, and no further extra ones within this share of the regular exchange interval.
 RETURN_EXCHANGES, RETURN_PERIODS, RETURN_QUIET_SHARE = 3, 4, 0.5
 # Longest delay between two attempts of a member that has not joined to contact seeds.
-MAX_JOIN_BACKOFF_TENTHS = 8 * SECOND
+MAX_JOIN_BACKOFF_TENTHS = 2 * SECOND
 
 
 class JoiningMixin(MemberBase):
--- a/tests/system/test_membership_seeds.py
+++ b/tests/system/test_membership_seeds.py
@@ -7,6 +7,7 @@
 RELAYS = (CORES, CORES + 1, CORES + 2)
 MEMBERS = CORES + 12
 WITHIN_S = 40.0
+CATCH_UP_S = 4.0
 
 
 def stop(group: Group, number: int) -> None:
@@ -61,3 +62,20 @@
     group._carry_out(address, member.set_seeds(group.now, seeds))
     group.run(1)
     assert len(member.live_members()) == MEMBERS + 1
+
+
+def test_a_member_joins_soon_after_its_only_seed_comes_back():
+    # Guards against pauses between attempts that grow beyond the time in which a machine has to catch up.
+    slow = []
+    for seed in range(10):
+        group = Group(MEMBERS - CORES, seed)
+        group.run(10)
+        seeds, late = group.seeds, 3 * 256
+        group.seeds = [(f"10.1.{late // 256}.0", 7723)]
+        address = group.add(MEMBERS)
+        group.run(30)
+        group.seeds = seeds
+        group.add(late)
+        group.run(CATCH_UP_S)
+        slow += [seed] * (len(group.members[address].live_members()) < MEMBERS + 2)
+    assert slow == []
