--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -10,15 +10,15 @@
 
 import gevent
 from gevent.event import AsyncResult, Event
-from msgspec.structs import asdict
 
 from nettledeal.common.addresses import Address, InternalPort, parse_address
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
+from nettledeal.control.change_notifier import ChangeNotifier
 from nettledeal.control.cluster_guard import ClusterGuard
-from nettledeal.control.contacts import Contacts, find_contacts
+from nettledeal.control.contact_review import ContactReview
 from nettledeal.control.effect_executor import EffectExecutor
 from nettledeal.control.effects import DurableState
 from nettledeal.control.identity import CoreMember, core_member, first_identity, own_info
@@ -42,9 +42,8 @@
 class ControlNode:
     """One core machine's replica of the control state.
 
-    `on_commit` callbacks receive each newly committed state on the event loop and must not block.
-    `on_reader_changed` is called there when the reader of the platform's list changes. `on_refused` receives
-    the reason (FOREIGN_DATA) if the disk turns out to belong to another cluster.
+    `changes` has the callbacks for commits and readers. `on_refused` receives the reason (FOREIGN_DATA) if
+    the disk turns out to belong to another cluster.
     """
 
     def __init__(
@@ -52,13 +51,10 @@
     ):
         """`seeds`: the seeds in force, where they may change."""
         self.settings = settings
-        self._seeds = seeds or SeedList(settings)
-        self._seeds.on_change.append(self.review_contacts)
-        self.on_commit: list[Callable[[ControlState], None]] = []
-        self.on_reader_changed: Callable[[], None] = lambda: None
+        seeds = seeds or SeedList(settings)
+        seeds.on_change.append(self.review_contacts)
+        self.changes = ChangeNotifier()
         self.on_refused: Callable[[ServingError], None] = lambda error: None
-        # Hosts where membership sees a replica, also this one's: the seeds may run no replica.
-        self.known_hosts: Callable[[], Iterable[str]] = tuple
         self._folder = Path(storage_dir or settings.data_dir or ".")
         self._timing = timing_for(settings.bounds)
         self._writer = Writer(self._on_synced)
@@ -74,17 +70,18 @@
         self._executor = EffectExecutor(settings.ip, self._writer, self._mesh)
         self._running_effects = False
         self._last_call_id = 0
-        self._notified_sequence = -1
-        self._logged_epoch = -1
-        self._notified_reader: tuple[str | None, ReaderTerm] = (None, ReaderTerm(-1, 0))
         self._timer_due_at = float("inf")
         self._timer_changed = Event()
         self._greenlets: list[gevent.Greenlet] = []
         self._cluster_guard = ClusterGuard(self._folder)
         self._last_reading_at: float | None = None
-        self._contacts = Contacts()
+        self._contact_review = ContactReview(self._mesh, seeds)
         self._stopped = False
 
+    def use_member_hosts(self, member_hosts: Callable[[], Iterable[str]]) -> None:
+        """Find other replicas through membership too; `review_contacts` is to be called when it changes."""
+        self._contact_review.member_hosts = member_hosts
+
     def start(self) -> None:
         """Open the disk, listen, and join the cluster.
 
@@ -278,46 +275,15 @@
                 return
 
     def _notify_changes(self) -> None:
-        record = self._replica.record
-        if record is not None and record.epoch != self._logged_epoch:
-            self._logged_epoch = record.epoch
-            log_event(
-                "epoch",
-                epoch=record.epoch,
-                primary=record.primary,
-                in_sync=list(record.in_sync),
-                voters=[f"{voter.replica_id}@{voter.host}" for voter in record.voters],
-            )
+        self.changes.epoch_is(self._replica.record)
         self.review_contacts()
-        self._notify_reader_change()
-        state = self._replica.replicated.committed
-        if state is not None and state.sequence > self._notified_sequence:
-            self._notified_sequence = state.sequence
-            for callback in self.on_commit:
-                callback(state)
-
-    def _notify_reader_change(self) -> None:
-        reader = (self.reader, self.reader_term)
-        if reader != self._notified_reader:
-            self._notified_reader = reader
-            self.on_reader_changed()
+        self.changes.reader_is((self.reader, self.reader_term))
+        self.changes.committed_is(self._replica.replicated.committed)
 
     def review_contacts(self) -> None:
         """Keep connections to the hosts that the replica needs now; called also when membership changes."""
-        if self._replica is None or self._stopped:
-            return
-        contacts = find_contacts(
-            self._replica,
-            time.monotonic(),
-            self._timing.forget_after_s,
-            self._seeds.hosts,
-            self.known_hosts,
-        )
-        if contacts != self._contacts:
-            self._contacts = contacts
-            log_event("control:contacts", **{name: sorted(hosts) for name, hosts in asdict(contacts).items()})
-            self._mesh.set_hosts(contacts.hosts)
-            self._replica.contact_hosts = contacts.hosts
+        if self._replica is not None and not self._stopped:
+            self._contact_review.review(self._replica)
 
     # Time
 
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -11,7 +11,6 @@
 
 from nettledeal.common.addresses import Address, InternalPort
 from nettledeal.common.errors import ServingError
-from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 from nettledeal.control.node import ControlNode
@@ -35,12 +34,12 @@
 class ControlPlane:
     """All parts of a core machine's process and what flows between them."""
 
-    def __init__(self, settings: Settings, settings_file: Path | None = None):
-        """`settings_file` is checked for other seeds; without it they stay as they are."""
+    def __init__(self, settings: Settings, seeds: SeedList | None = None):
+        """`seeds`: the seeds in force, where they may change."""
         self.settings = settings
-        self.seeds = SeedList(settings, settings_file)
-        self.node = ControlNode(settings, seeds=self.seeds)
-        self.node.on_commit.append(self._publish_control)
+        seeds = seeds or SeedList(settings)
+        self.node = ControlNode(settings, seeds=seeds)
+        self.node.changes.on_commit.append(self._publish_control)
         self.on_failure: Callable[[ServingError], None] = lambda error: None
         self.node.on_refused = lambda error: self.on_failure(error)
         self.control = PublishedSource(CONTROL_SOURCE)
@@ -49,7 +48,7 @@
         sources = {source.name: source for source in (self.control, self.catalogue, self.cores)}
         self.publisher = Publisher(settings, sources)
         self.reader = CatalogueReader(settings, self.node, self.catalogue, self.publisher.notify)
-        self.node.on_reader_changed = self.reader.role_changed
+        self.node.changes.on_reader_changed = self.reader.role_changed
         self.subscriber = Subscriber(
             settings,
             settings.control_member_name,
@@ -57,8 +56,8 @@
             [CATALOGUE_SOURCE],
             self._relay_catalogue,
         )
-        self.membership = MembershipNode(settings, Role.CORE, self.seeds)
-        self.node.known_hosts = self.membership.core_hosts
+        self.membership = MembershipNode(settings, Role.CORE, seeds)
+        self.node.use_member_hosts(self.membership.core_hosts)
         self.membership.on_change.append(self.node.review_contacts)
         self.registry = RegistryServer(settings, self.membership) if settings.listen.directory else None
         self.operator_api = OperatorServer(
@@ -88,11 +87,9 @@
         self.operator_api.start()
         self._confirming = gevent.spawn(self._confirm)
         self._shares.start()
-        self.seeds.start()
 
     def stop(self) -> None:
         """Hand over what this machine leads, then end."""
-        self.seeds.stop()
         self.membership.leave()
         self._shares.stop()
         self.operator_api.stop()
@@ -102,11 +99,6 @@
             self.registry.stop()
         self.membership.stop()
 
-    def reload(self) -> None:
-        """Take the seeds of a changed settings file; the rest of it serves the next start."""
-        log_event("process:reloaded")
-        self.seeds.check()
-
     def _publish_control(self, state: ControlState) -> None:
         entries = control_entries(state.entries)
         if self.control.publish((state.sequence,), entries):
@@ -161,7 +153,7 @@
 def run(settings: Settings, settings_file: Path | None = None) -> int:
     """Run the control plane until it is told to stop; without a replica where the machine may have none."""
     if settings.keeps_control_state:
-        return run_plane(settings, lambda: ControlPlane(settings, settings_file))
+        return run_plane(settings, lambda seeds: ControlPlane(settings, seeds), settings_file)
     from nettledeal.programs.control_relay import ControlRelay
 
-    return run_plane(settings, lambda: ControlRelay(settings, settings_file))
+    return run_plane(settings, lambda seeds: ControlRelay(settings, seeds), settings_file)
--- a/src/nettledeal/programs/control_relay.py
+++ b/src/nettledeal/programs/control_relay.py
@@ -7,12 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from pathlib import Path
 
 from pyrsistent import PMap
 
 from nettledeal.common.errors import ServingError
-from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 from nettledeal.distribution.control_source import CONTROL_SOURCE
@@ -26,12 +24,12 @@
 class ControlRelay:
     """All parts of the process and what flows between them."""
 
-    def __init__(self, settings: Settings, settings_file: Path | None = None):
-        """`settings_file` is checked for other seeds; without it they stay as they are."""
-        self.seeds = SeedList(settings, settings_file)
+    def __init__(self, settings: Settings, seeds: SeedList | None = None):
+        """`seeds`: the seeds in force, where they may change."""
+        seeds = seeds or SeedList(settings)
         self.on_failure: Callable[[ServingError], None] = lambda error: None
-        self.membership = MembershipNode(settings, Role.RELAY, self.seeds)
-        self.directory = CoreDirectory(settings, self.membership.core_hosts, self.seeds)
+        self.membership = MembershipNode(settings, Role.RELAY, seeds)
+        self.directory = CoreDirectory(settings, self.membership.core_hosts, seeds)
         self.subscriber = Subscriber(
             settings,
             settings.control_member_name,
@@ -56,21 +54,14 @@
         self.subscriber.start()
         for server in self._servers():
             server.start()
-        self.seeds.start()
 
     def stop(self) -> None:
         """Stop serving, then leave."""
-        self.seeds.stop()
         for server in self._servers():
             server.stop()
         self.subscriber.stop()
         self.membership.stop()
 
-    def reload(self) -> None:
-        """Take the seeds of a changed settings file; the rest of it serves the next start."""
-        log_event("process:reloaded")
-        self.seeds.check()
-
     def _servers(self) -> list[RegistryServer | RedirectionServer]:
         return [server for server in (self.registry, self.redirection) if server is not None]
 
--- a/src/nettledeal/programs/data_plane.py
+++ b/src/nettledeal/programs/data_plane.py
@@ -9,7 +9,6 @@
 from pyrsistent import PMap
 
 from nettledeal.common.listeners import StandardSocket
-from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 from nettledeal.dataplane.agent import DataPlane
@@ -36,16 +35,16 @@
         self,
         settings: Settings,
         listener: StandardSocket | None = None,
-        settings_file: Path | None = None,
+        seeds: SeedList | None = None,
     ):
-        """`listener`: a socket that listens for clients already. `settings_file` is checked for other seeds;
-        without it they stay as they are."""
+        """`listener`: a socket that listens for clients already. `seeds`: those in force, where they may
+        change."""
         self.settings = settings
-        self.seeds = SeedList(settings, settings_file)
+        seeds = seeds or SeedList(settings)
         self._listener = listener
         self.data_plane = DataPlane(settings)
-        self.membership = MembershipNode(settings, Role.EDGE, self.seeds)
-        self.directory = CoreDirectory(settings, self.membership.core_hosts, self.seeds)
+        self.membership = MembershipNode(settings, Role.EDGE, seeds)
+        self.directory = CoreDirectory(settings, self.membership.core_hosts, seeds)
         self.membership.on_change.append(self._members_changed)
         self._counting: gevent.Greenlet | None = None
         self.data_plane.on_ready_changed = self.membership.set_ready
@@ -65,11 +64,9 @@
         self.subscriber.start()
         self.data_plane.start(self._listener)
         self._reporting = gevent.spawn(self._report)
-        self.seeds.start()
 
     def stop(self) -> None:
         """Have clients sent elsewhere, finish what was taken, then end."""
-        self.seeds.stop()
         self.membership.leave()
         self.data_plane.stop()
         if self._reporting is not None:
@@ -77,11 +74,6 @@
         self.subscriber.stop()
         self.membership.stop()
 
-    def reload(self) -> None:
-        """Take the seeds of a changed settings file; the rest of it serves the next start."""
-        log_event("process:reloaded")
-        self.seeds.check()
-
     def _apply(self, source: str, version: tuple[int, ...], entries: PMap) -> None:
         if source == CONTROL_SOURCE:
             self.data_plane.apply_control(version, entries)
@@ -118,4 +110,4 @@
 
 def run(settings: Settings, listener: StandardSocket | None = None, settings_file: Path | None = None) -> int:
     """Run the data plane until it is told to stop; clients come in through `listener`, if given."""
-    return run_plane(settings, lambda: EdgeProcess(settings, listener, settings_file))
+    return run_plane(settings, lambda seeds: EdgeProcess(settings, listener, seeds), settings_file)
--- a/src/nettledeal/programs/process.py
+++ b/src/nettledeal/programs/process.py
@@ -5,6 +5,7 @@
 import gc
 import signal
 from collections.abc import Callable
+from pathlib import Path
 from typing import Protocol
 
 import gevent
@@ -12,6 +13,7 @@
 
 from nettledeal.common.errors import ServingError
 from nettledeal.common.logs import configure_logs, log_event
+from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 
 # Objects that live as long as the process are not looked at by the garbage collector; the rest rarely.
@@ -29,20 +31,24 @@
     def stop(self) -> None:
         """Leave service in order; returns when the process may end."""
 
-    def reload(self) -> None:
-        """The settings file has changed."""
 
+def run_plane(
+    settings: Settings, build: Callable[[SeedList], Plane], settings_file: Path | None = None
+) -> int:
+    """Run a plane until SIGTERM or SIGINT; returns the exit status. Raises what the plane can't go on for.
 
-def run_plane(settings: Settings, build: Callable[[], Plane]) -> int:
-    """Run a plane until SIGTERM or SIGINT; returns the exit status. Raises what the plane can't go on for."""
+    `build` gets the seeds, which follow `settings_file`; the rest of a changed file serves the next start.
+    """
     configure_logs(settings.node_name, settings.role)
     stopping = AsyncResult()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
-    plane = build()
+    seeds = SeedList(settings, settings_file)
+    plane = build(seeds)
     plane.on_failure = stopping.set_exception
     plane.start()
-    gevent.signal_handler(signal.SIGHUP, plane.reload)
+    seeds.start()
+    gevent.signal_handler(signal.SIGHUP, _reload, seeds)
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
@@ -51,6 +57,12 @@
         stopping.get()
     finally:
         log_event("process:stopping")
+        seeds.stop()
         plane.stop()
         log_event("process:stopped")
     return 0
+
+
+def _reload(seeds: SeedList) -> None:
+    log_event("process:reloaded")
+    seeds.check()
--- a/tests/system/control_cluster.py
+++ b/tests/system/control_cluster.py
@@ -87,7 +87,7 @@
         seed_list = SeedList(settings, settings_file)
         seed_list.start()
         node = ControlNode(settings, self.folder / f"{host}-{disk}", seed_list)
-        node.known_hosts = lambda: tuple(member_hosts)
+        node.use_member_hosts(lambda: tuple(member_hosts))
         node.start()
         self.nodes[host] = node
         return node
--- a/tests/system/test_control_node.py
+++ b/tests/system/test_control_node.py
@@ -79,7 +79,7 @@
         cluster.crash(host)
         node = cluster.start(host, bootstrap=False, seeds=[host], tolerance=NOTHING)
         published = []
-        node.on_commit.append(lambda state: published.append(state.generation))
+        node.changes.on_commit.append(lambda state: published.append(state.generation))
         await_that(lambda: node.state.generation == 5)
         await_that(lambda: published)
 
--- a/tests/system/test_control_reader_term.py
+++ b/tests/system/test_control_reader_term.py
@@ -4,6 +4,7 @@
 
 from types import SimpleNamespace
 
+from nettledeal.control.change_notifier import ChangeNotifier
 from nettledeal.control.node import ControlNode, ReaderTerm
 from nettledeal.control.reader_role import ReaderAppointment
 
@@ -11,7 +12,7 @@
 def node_with(replica: SimpleNamespace) -> ControlNode:
     node = object.__new__(ControlNode)
     node._replica = replica
-    node._notified_reader = (None, ReaderTerm(-1, 0))
+    node.changes = ChangeNotifier()
     return node
 
 
@@ -45,9 +46,9 @@
 def test_each_change_of_the_reader_is_notified_once():
     node = node_with(backup(6, 6, 0))
     notified = []
-    node.on_reader_changed = lambda: notified.append(node.reader_term)
-    node._notify_reader_change()
-    node._notify_reader_change()
+    node.changes.on_reader_changed = lambda: notified.append(node.reader_term)
+    node.changes.reader_is((node.reader, node.reader_term))
+    node.changes.reader_is((node.reader, node.reader_term))
     node._replica.current_appointment = ReaderAppointment("reader", 1, incarnation=1)
-    node._notify_reader_change()
+    node.changes.reader_is((node.reader, node.reader_term))
     assert notified == [ReaderTerm(6, 0), ReaderTerm(6, 1)]
--- a/tests/system/test_control_relay.py
+++ b/tests/system/test_control_relay.py
@@ -114,7 +114,7 @@
     made = []
     monkeypatch.setattr(control_plane, "ControlPlane", lambda *_: made.append("replica"))
     monkeypatch.setattr("nettledeal.programs.control_relay.ControlRelay", lambda *_: made.append("relay"))
-    monkeypatch.setattr(control_plane, "run_plane", lambda _, build: build())
+    monkeypatch.setattr(control_plane, "run_plane", lambda settings, build, _: build(None))
     control_plane.run(settings(data_dir=data_dir, counts_for_quorum=counts))
     assert made == ["replica" if replica else "relay"]
 
--- a/tests/system/test_operator_api_cores.py
+++ b/tests/system/test_operator_api_cores.py
@@ -64,7 +64,7 @@
         )
         self.source = PublishedSource(CONTROL_SOURCE)
         self.node = ControlNode(self.settings, folder / host)
-        self.node.on_commit.append(self._publish)
+        self.node.changes.on_commit.append(self._publish)
         self.publisher = Publisher(self.settings, {CONTROL_SOURCE: self.source})
         self.operator_api = OperatorServer(self.settings, self.node)
         self.node.start()
--- a/tests/system/test_plane_failure.py
+++ b/tests/system/test_plane_failure.py
@@ -27,8 +27,8 @@
     def stop(self) -> None:
         self.stopped = True
 
-    def reload(self) -> None:
-        pass
+
+SETTINGS = SimpleNamespace(node_name="n", role="r", port_range=(7000, 7010), seeds=[])
 
 
 @pytest.fixture
@@ -36,7 +36,7 @@
     thresholds = gc.get_threshold()
     monkeypatch.setattr(process.gevent, "signal_handler", lambda *arguments: None)
     monkeypatch.setattr(process, "configure_logs", lambda *arguments: None)
-    yield lambda plane: process.run_plane(SimpleNamespace(node_name="n", role="r"), lambda: plane)
+    yield lambda plane: process.run_plane(SETTINGS, lambda seeds: plane)
     gc.unfreeze()
     gc.set_threshold(*thresholds)
 
