Membership: recent deaths in a module of their own; soak: losses judged by what happened during the request

membership/node.py queried, scheduled and expired deaths among its other jobs; recent_deaths.py has these three. The soak had held a machine that was ever killed for excused; it now counts disruptions and compares.

--- a/src/nettledeal/membership/member.py
+++ b/src/nettledeal/membership/member.py
@@ -1,10 +1,10 @@
 """One member of the group: SWIM failure detection and dissemination with the Lifeguard extensions.
 
 A deterministic state machine without I/O. Its host calls `start`, `on_datagram`, `on_stream_request`,
-`on_stream_response`, `on_timer`, `leave`, `issue_order`, `forget`, `set_metadata` and `announce_to`, each
-with the current time (Unix time in tenths of a millisecond), and carries out the actions of the returned
-`Step`: datagrams, stream requests and notifications of changes. With a seeded random generator, the same
-calls give the same steps.
+`on_stream_response`, `on_timer`, `leave`, `issue_order`, `forget`, `set_metadata`, `set_seeds` and
+`announce_to`, each with the current time (Unix time in tenths of a millisecond), and carries out the actions
+of the returned `Step`: datagrams, stream requests and notifications of changes. With a seeded random
+generator, the same calls give the same steps.
 
 Three mechanisms prevent live members from being declared dead. A suspicion precedes each death; it lasts
 longer the fewer members confirm it, and the accused refutes it with a higher incarnation. A member whose
--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 from collections.abc import Callable
 from enum import StrEnum
@@ -16,10 +15,11 @@
 from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
-from nettledeal.membership.actions import SECOND, Action, MemberChanged, Timing
+from nettledeal.membership.actions import Action, MemberChanged, Timing
 from nettledeal.membership.cbor_codec import CborCodec
 from nettledeal.membership.host import Host
 from nettledeal.membership.member import Member
+from nettledeal.membership.recent_deaths import RecentDeaths
 from nettledeal.membership.view import MemberRecord, Metadata, State
 from nettledeal.membership.zone_suspicion import suspect_zones
 
@@ -42,8 +42,6 @@
 REPEAT_AFTER_S = (0.1, 0.4)
 # Data-plane members that a process assumes before it has joined, so that its share of a budget starts small.
 ASSUMED_BEFORE_JOINING = 64
-# The view is reviewed when evidence of a death expires, at most once in this time.
-REVIEW_INTERVAL_S = 0.5
 _NANOSECONDS_PER_TICK = 100_000
 
 
@@ -134,8 +132,6 @@
         # Called when the view has changed, or what follows from it: evidence of deaths expires.
         self.on_change: list[Callable[[], None]] = []
         self._members: list[MemberInfo] | None = None
-        # Numbers of the multiples of REVIEW_INTERVAL_S, in monotonic time, at which a review is due.
-        self._scheduled_reviews: set[int] = set()
         address = settings.internal_address(_PORTS[role])
         self.member = Member(
             settings.node_name if role is Role.EDGE else settings.control_member_name,
@@ -148,6 +144,7 @@
             codec=CborCodec(),
             metadata=_own_metadata(settings, role),
         )
+        self._recent_deaths = RecentDeaths(self.member.view, self._clock.now, self._on_view_changed)
         self._host = Host(
             self.member,
             tuple(address),
@@ -174,6 +171,7 @@
     def stop(self) -> None:
         """Announce that this process has left, and close."""
         self._stopped = True
+        self._recent_deaths.stop()
         self._host.leave()
         self._host.close()
 
@@ -201,21 +199,10 @@
     def suspect_zones(self) -> frozenset[str]:
         """Zones that may have failed as a whole, judged by members suspected or recently found dead."""
         members = self.members()
-        since = self._clock.now() - round(DEATH_EVIDENCE_S * SECOND)
         lost = [member.zone for member in members if member.suspected]
-        lost += [record.metadata.zone for record in self._dead_since(since)]
+        lost += [record.metadata.zone for record in self._recent_deaths.within(DEATH_EVIDENCE_S)]
         return suspect_zones((member.zone for member in members if not member.suspected), lost)
 
-    def _dead_since(self, since: int) -> list[MemberRecord]:
-        view = self.member.view
-        return [
-            record
-            for record in view.records.values()
-            if record.state == State.DEAD
-            and record.metadata is not None
-            and view.state_since[record.name] > since
-        ]
-
     def is_member(self, name: str) -> bool:
         """Whether a process of that name is alive, as far as is known."""
         return any(member.name == name for member in self.members())
@@ -223,8 +210,8 @@
     def data_plane_count(self) -> int:
         """Number of data-plane members that share a budget: live ones and recently lost ones."""
         live = sum(member.role == Role.EDGE for member in self.members())
-        since = self._clock.now() - round(LOST_MEMBER_COUNTED_S * SECOND)
-        lost = sum(record.metadata.role == Role.EDGE for record in self._dead_since(since))
+        recent = self._recent_deaths.within(LOST_MEMBER_COUNTED_S)
+        lost = sum(record.metadata.role == Role.EDGE for record in recent)
         return max(1 if self.member.joined else ASSUMED_BEFORE_JOINING, live + lost)
 
     def _seed_addresses(self) -> list[tuple[str, int]]:
@@ -257,23 +244,9 @@
             # A directory member that has just joined may have received an outdated record of this one.
             self._host.announce_to([Address(*action.record.address)])
         if action.record.state == State.DEAD:
-            self._review_when_expired(DEATH_EVIDENCE_S)
-            self._review_when_expired(LOST_MEMBER_COUNTED_S)
+            self._recent_deaths.add((DEATH_EVIDENCE_S, LOST_MEMBER_COUNTED_S))
         self._on_view_changed()
 
-    def _review_when_expired(self, after_s: float) -> None:
-        """Have the view looked at again once a death of this moment no longer counts for something."""
-        now_s = time.monotonic()
-        number = math.floor((now_s + after_s) / REVIEW_INTERVAL_S) + 1
-        if number not in self._scheduled_reviews:
-            self._scheduled_reviews.add(number)
-            gevent.spawn_later(number * REVIEW_INTERVAL_S - now_s, self._review, number)
-
-    def _review(self, number: int) -> None:
-        self._scheduled_reviews.discard(number)
-        if not self._stopped:
-            self._on_view_changed()
-
     def _on_view_changed(self) -> None:
         self._members = None
         for callback in self.on_change:
--- a/src/nettledeal/standins/soak.py
+++ b/src/nettledeal/standins/soak.py
@@ -180,7 +180,7 @@
 
 def _is_broken(answer: LostAnswer, run: set[str]) -> bool:
     """Whether a machine that was neither killed nor frozen should have answered."""
-    return not answer.unclean and (answer.request_id in run or answer.waited_s > LOSS_SLACK_S)
+    return not answer.disrupted and (answer.request_id in run or answer.waited_s > LOSS_SLACK_S)
 
 
 def _describe(answer: LostAnswer) -> str:
--- a/src/nettledeal/standins/soak_clients.py
+++ b/src/nettledeal/standins/soak_clients.py
@@ -47,11 +47,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LostAnswer:
-    """A request without an answer: who was asked, how long before the connection ended, in seconds."""
+    """A request without an answer.
+
+    `disrupted`: the machine was killed, frozen or thawed meanwhile. `waited_s`: from its sending to the end
+    of the connection.
+    """
 
     machine: Machine
     request_id: str
-    unclean: bool
+    disrupted: bool
     waited_s: float
     reason: str
 
@@ -86,14 +90,14 @@
 
     def _ask(self, connection: KeptConnection) -> bool:
         request_id = f"{self._random.getrandbits(64):016x}"
-        started_s, unclean = time.monotonic(), self.machine.unclean
+        started_s, disruptions = time.monotonic(), self.machine.disruptions
         self.sent.append(request_id)
         try:
             response = connection.exchange(self.kind, request_id)
         except ServingError as error:
             waited_s = time.monotonic() - started_s
-            unclean = unclean or self.machine.unclean
-            self.lost.append(LostAnswer(self.machine, request_id, unclean, waited_s, str(error)))
+            disrupted = disruptions != self.machine.disruptions
+            self.lost.append(LostAnswer(self.machine, request_id, disrupted, waited_s, str(error)))
             return False
         outcome, _ = check_response(self.kind, request_id, response, started_s)
         self.served += outcome.ending is Ending.SERVED
--- a/src/nettledeal/standins/soak_events.py
+++ b/src/nettledeal/standins/soak_events.py
@@ -168,10 +168,11 @@
 
         def freeze(machines: list[Machine]) -> None:
             for machine in machines:
-                machine.unclean = True
+                machine.disruptions += 1
                 machine.process.freeze()
             gevent.sleep(MAX_FREEZE_S * self.random.random())
             for machine in machines:
+                machine.disruptions += 1
                 machine.process.thaw()
 
         self._while_reserved(self._reserve(self.system.edges, 1), freeze)
@@ -254,7 +255,7 @@
 
     def _restart_killed(self, machines: list[Machine]) -> None:
         for machine in machines:
-            machine.unclean = True
+            machine.disruptions += 1
             machine.process.kill()
         self._pause()
         for machine in machines:
--- a/src/nettledeal/standins/soak_system.py
+++ b/src/nettledeal/standins/soak_system.py
@@ -50,13 +50,14 @@
 class Machine:
     """One process and how its settings are made.
 
-    `bootstrap` holds until the first start. `unclean`: it was killed or frozen, so answers may be lost.
+    `bootstrap` holds until the first start. `disruptions` counts kills, freezes and thaws: a request during
+    which it changes may be lost.
     """
 
     process: SystemProcess
     make_settings: Callable[[], Settings]
     bootstrap: bool = False
-    unclean: bool = False
+    disruptions: int = 0
 
     @property
     def settings(self) -> Settings:
