--- a/src/nettledeal/standins/soak_events.py
+++ b/src/nettledeal/standins/soak_events.py
@@ -116,18 +116,18 @@
         core = self._any_core()
         core.process.kill()
         self._pause()
-        self.system.add_successor(core)
+        self._replace(core)
 
     def replace_stopped_core(self) -> None:
         """A core machine is stopped for good, then another comes."""
         core = self._any_core()
         self._stop(core)
-        self.system.add_successor(core)
+        self._replace(core)
 
     def add_core_then_stop(self) -> None:
         """Another core machine comes, then the earlier one is stopped for good."""
         core = self._any_core()
-        successor = self.system.add_successor(core)
+        successor = self._replace(core)
         wait_until(
             lambda: successor.settings.ip in _in_sync_hosts(self.status(successor)),
             self.recover_within_s,
@@ -228,6 +228,13 @@
 
     # Helpers
 
+    def _replace(self, core: Machine) -> Machine:
+        """Start a successor. Seeds that name only machines that are gone for good would lead it to nobody."""
+        successor = self.system.add_successor(core)
+        if not self.system.seeds_lead_somewhere():
+            self.system.name_seeds([machine.settings.ip for machine in self.system.relays])
+        return successor
+
     def _any_core(self) -> Machine:
         return self.random.choice(self.system.cores)
 
--- a/src/nettledeal/standins/soak_system.py
+++ b/src/nettledeal/standins/soak_system.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from nettledeal.common.addresses import Address
+from nettledeal.common.addresses import Address, parse_address
 from nettledeal.common.settings import Bounds, Listen, Settings
 from nettledeal.standins.backend import EngineSpeed, StandInBackend
 from nettledeal.standins.layout import Layout, MachineClass, Network, Port, Zone, write_settings
@@ -76,8 +76,11 @@
         return Address(self.settings.ip, Port.CONTROL_PLANE)
 
     def write_settings(self) -> None:
-        """Write its settings file."""
-        write_settings(self.settings, self.process.settings_path)
+        """Write its settings file, in one step for a process that reads it meanwhile."""
+        path = self.process.settings_path
+        written = path.with_suffix(".written")
+        write_settings(self.settings, written)
+        written.replace(path)
 
     def start(self) -> None:
         """Start it with the settings of this moment."""
@@ -142,6 +145,11 @@
         for machine in self.machines:
             machine.write_settings()
 
+    def seeds_lead_somewhere(self) -> bool:
+        """Whether a seed of the settings files is a machine that is to run."""
+        hosts = {address.host for address in self.control_addresses}
+        return any(parse_address(seed).host in hosts for seed in self.edges[0].settings.seeds)
+
     def stop(self) -> None:
         """Stop everything, also machines that were to be replaced."""
         running = [process for process in self._started if process.running]
