Contacts and seeds: one way of reviewing, seeds parsed once, one place that takes a member's seeds

Since every input reviews them, the replica's tick, due as often, does the same: the greenlet goes. - The seeds' addresses were parsed at every review, so with every message between core machines; now when they change. - find_contacts took forget_after_s, which is the replica's own. - A changed settings file was read twice, once for comparison and once for its seeds. - The rule that a member is no seed of its own stood three times; three planes made a seed list for parts that do so. - Schedules with lookups: no incarnation raised and lowered around a draw.

--- a/src/nettledeal/common/seeds.py
+++ b/src/nettledeal/common/seeds.py
@@ -14,32 +14,27 @@
 from nettledeal.common.addresses import Address, InternalPort, parse_address
 from nettledeal.common.errors import ServingError
 from nettledeal.common.logs import log_event
-from nettledeal.common.settings import Settings, read_settings
+from nettledeal.common.settings import Settings, parse_settings
 
 # How often the file is checked for a change that no signal announced.
 CHECK_INTERVAL_S = 2.0
 
 
 class SeedList:
-    """The current seeds; `on_change` callbacks are called on the event loop when they have changed."""
+    """The current seeds, and their `hosts`; `on_change` callbacks run on the event loop after a change."""
 
     def __init__(self, settings: Settings, path: Path | None = None):
         """`path`: the settings file; without it the seeds stay as they are."""
         self.on_change: list[Callable[[], None]] = []
         self._path = path
         self._first_port = settings.port_range[0]
-        self._seeds = list(settings.seeds)
+        self._take(settings.seeds)
         self._contents: bytes | None = None  # as last read
         self._checking: gevent.Greenlet | None = None
 
-    @property
-    def hosts(self) -> frozenset[str]:
-        """The hosts of the seeds."""
-        return frozenset(parse_address(seed).host for seed in self._seeds)
-
     def addresses(self, port: InternalPort) -> list[Address]:
         """The seeds' addresses for internal traffic of one kind."""
-        return [Address(parse_address(seed).host, self._first_port + port) for seed in self._seeds]
+        return [Address(host, self._first_port + port) for host in self._hosts_in_order]
 
     def start(self) -> None:
         """Begin to check the file, in a greenlet."""
@@ -58,16 +53,21 @@
             return
         self._contents = contents
         try:
-            seeds = read_settings(self._path).seeds
+            seeds = parse_settings(contents, self._path).seeds
         except ServingError as error:
             log_event("settings:unreadable", reason=str(error))
             return
         if seeds != self._seeds:
-            self._seeds = seeds
+            self._take(seeds)
             log_event("settings:seeds_changed", seeds=seeds)
             for callback in self.on_change:
                 callback()
 
+    def _take(self, seeds: list[str]) -> None:
+        self._seeds = seeds
+        self._hosts_in_order = [parse_address(seed).host for seed in seeds]
+        self.hosts = frozenset(self._hosts_in_order)
+
     def _read_contents(self) -> bytes | None:
         """The file's bytes; None if there is no file, as while it is being replaced."""
         if self._path is None:
--- a/src/nettledeal/common/settings.py
+++ b/src/nettledeal/common/settings.py
@@ -157,11 +157,19 @@
     """
     chosen = settings_path(path)
     try:
-        with chosen.open("rb") as file:
-            settings = msgspec.convert(tomllib.load(file), Settings)
-        _check(settings)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
+        contents = chosen.read_bytes()
+    except OSError as error:
         raise ServingError(ErrorCode.INVALID_SETTINGS, "read settings", f"{chosen}: {error}") from None
+    return parse_settings(contents, chosen)
+
+
+def parse_settings(contents: bytes, path: Path) -> Settings:
+    """Check the contents of the file at `path`; raises as `read_settings` does."""
+    try:
+        settings = msgspec.convert(tomllib.loads(contents.decode()), Settings)
+        _check(settings)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
+        raise ServingError(ErrorCode.INVALID_SETTINGS, "read settings", f"{path}: {error}") from None
     return settings
 
 
--- a/src/nettledeal/control/contact_review.py
+++ b/src/nettledeal/control/contact_review.py
@@ -27,10 +27,7 @@
 
     def review(self, replica: Replica) -> None:
         """Look up the contacts now; log and apply them if they have changed."""
-        now = time.monotonic()
-        contacts = find_contacts(
-            replica, now, replica.timing.forget_after_s, self._seeds.hosts, self.member_hosts
-        )
+        contacts = find_contacts(replica, time.monotonic(), self._seeds.hosts, self.member_hosts)
         if contacts == self._contacts:
             return
         self._contacts = contacts
--- a/src/nettledeal/control/contacts.py
+++ b/src/nettledeal/control/contacts.py
@@ -24,17 +24,13 @@
 
 
 def find_contacts(
-    replica: Replica,
-    now: float,
-    forget_after_s: float,
-    seeds: Iterable[str],
-    member_hosts: Callable[[], Iterable[str]],
+    replica: Replica, now: float, seeds: frozenset[str], member_hosts: Callable[[], Iterable[str]]
 ) -> Contacts:
     """The hosts to which `replica` needs connections at `now`, on its monotonic clock.
 
     Seeds and `member_hosts`, where membership sees a replica, are used only while the state wasn't confirmed
-    for `forget_after_s`: otherwise the primary can be reached. They change without any input to the replica,
-    so a host has to call this at intervals as well.
+    for the timing's `forget_after_s`: otherwise the primary can be reached. They change without any input to
+    the replica, so a host has to call this at intervals as well.
     """
     record = replica.record
     voters = frozenset(voter.host for voter in record.voters) if record is not None else frozenset()
@@ -42,7 +38,7 @@
     heard = replica.recently_heard_hosts(now)
     if replica.primary is not None:
         heard |= {peer.info.host for peer in replica.primary.peers.values()}
-    if replica.confirmed_age_s(now) <= forget_after_s:
+    if replica.confirmed_age_s(now) <= replica.timing.forget_after_s:
         return Contacts(voters, frozenset(heard))
     heard |= replica.known_replicas.keys()
-    return Contacts(voters, frozenset(heard), frozenset(seeds), frozenset(member_hosts()))
+    return Contacts(voters, frozenset(heard), seeds, frozenset(member_hosts()))
--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -98,8 +98,7 @@
         self._writer.start(storage)
         self._mesh.start()
         self.review_contacts()
-        loops = (self._run_timer, self._run_disk_check, self._run_contact_review)
-        self._greenlets = [gevent.spawn(loop) for loop in loops]
+        self._greenlets = [gevent.spawn(self._run_timer), gevent.spawn(self._run_disk_check)]
 
     def stop(self) -> None:
         """Hand over leadership, wait until the other replicas no longer need this one, and close."""
@@ -294,6 +293,7 @@
             self._timer_changed.set()
 
     def _run_timer(self) -> None:
+        """Tick when due, at least every `announce_interval_s`; as any input, that reviews the contacts."""
         while True:
             self._timer_due_at = self._replica.next_tick_at
             self._timer_changed.clear()
@@ -302,12 +302,6 @@
                 continue
             self._apply_input(self._replica.tick)
 
-    def _run_contact_review(self) -> None:
-        """Review the contacts periodically: a replica that hears nobody has no input to do it at."""
-        while True:
-            gevent.sleep(self._timing.announce_interval_s)
-            self.review_contacts()
-
     def _run_disk_check(self) -> None:
         """Check the disk's health periodically: a hanging disk produces no event that could be waited for."""
         while True:
--- a/src/nettledeal/membership/host.py
+++ b/src/nettledeal/membership/host.py
@@ -98,7 +98,7 @@
     def set_seeds(self, seeds: Iterable[Address]) -> None:
         """Before the member has started, it takes the seeds for its start."""
         if self.datagram_socket is None:
-            self.member.seeds = [seed for seed in seeds if seed != self.member.address]
+            self.member.use_seeds(seeds)
         else:
             self._carry_out(self.member.set_seeds(self.clock(), seeds))
 
--- a/src/nettledeal/membership/member.py
+++ b/src/nettledeal/membership/member.py
@@ -158,7 +158,7 @@
     def set_seeds(self, now: Time, seeds: Iterable[Address]) -> Step:
         """Replace the seeds; a member that knows no other contacts them at once."""
         self._advance_clock(now)
-        self.seeds = [seed for seed in seeds if seed != self.address]
+        self.use_seeds(seeds)
         if not self.silent and not self.ring and self.seeds:
             self._sync_with_seeds()
         return self._finish_step()
--- a/src/nettledeal/membership/member_base.py
+++ b/src/nettledeal/membership/member_base.py
@@ -41,7 +41,7 @@
         self.codec = codec or MsgpackCodec()
         self.name, self.address, self.cluster = name, address, cluster
         self.timing, self.rng = timing, rng
-        self.seeds = [seed for seed in seeds if seed != address]
+        self.use_seeds(seeds)
         self.view, self.updates, self.health = View(), PiggybackQueue(timing.told), LocalHealth()
         self.own_record = MemberRecord(name, *address, now, 0, State.ALIVE, "", zone_number, metadata)
         self.now = now
@@ -71,6 +71,10 @@
         self.sync_interval = min(timing.swap, (10 if timing.compare else 4) * timing.period)
         self.actions: list[Action] = []
 
+    def use_seeds(self, seeds: Iterable[Address]) -> None:
+        """Replace the seeds; nobody is contacted."""
+        self.seeds = [seed for seed in seeds if seed != self.address]
+
     @property
     def is_receiving(self) -> bool:
         """Whether a recent message shows that this member receives anything at all."""
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -37,7 +37,6 @@
     def __init__(self, settings: Settings, seeds: SeedList | None = None):
         """`seeds`: the seeds in force, where they may change."""
         self.settings = settings
-        seeds = seeds or SeedList(settings)
         self.node = ControlNode(settings, seeds=seeds)
         self.node.changes.on_commit.append(self._publish_control)
         self.on_failure: Callable[[ServingError], None] = lambda error: None
--- a/src/nettledeal/programs/control_relay.py
+++ b/src/nettledeal/programs/control_relay.py
@@ -26,7 +26,6 @@
 
     def __init__(self, settings: Settings, seeds: SeedList | None = None):
         """`seeds`: the seeds in force, where they may change."""
-        seeds = seeds or SeedList(settings)
         self.on_failure: Callable[[ServingError], None] = lambda error: None
         self.membership = MembershipNode(settings, Role.RELAY, seeds)
         self.directory = CoreDirectory(settings, self.membership.core_hosts, seeds)
--- a/src/nettledeal/programs/data_plane.py
+++ b/src/nettledeal/programs/data_plane.py
@@ -40,7 +40,6 @@
         """`listener`: a socket that listens for clients already. `seeds`: those in force, where they may
         change."""
         self.settings = settings
-        seeds = seeds or SeedList(settings)
         self._listener = listener
         self.data_plane = DataPlane(settings)
         self.membership = MembershipNode(settings, Role.EDGE, seeds)
--- a/tests/system/control_lookups.py
+++ b/tests/system/control_lookups.py
@@ -61,17 +61,17 @@
 
     # What a process is told
 
-    def draw_lookups(self, machine: Machine) -> Lookups:
+    def draw_lookups(self, machine: Machine, incarnation: int) -> Lookups:
         """Seeds and membership of a process that starts now; one of them leads to the others at some time."""
         random = self.lookup_random
         others = [other.host for other in self.running() if other is not machine]
-        if machine.incarnation == 1 and machine.host in self.seeds:
+        if incarnation == 1 and machine.host in self.seeds:
             return Lookups(frozenset(self.seeds), self.now + 0.5)
         mode = random.randrange(4)
         if mode == 0 and others:
             return Lookups(frozenset({random.choice(others)}))
         if mode == 1:
-            self.at(self.now + 1.0 + 4.0 * random.random(), self._name_seed, machine, machine.incarnation)
+            self.at(self.now + 1.0 + 4.0 * random.random(), self._name_seed, machine, incarnation)
             return Lookups(frozenset({GONE}))
         return Lookups(frozenset({RELAY, GONE}), self.now + 0.05 + 3.0 * random.random())
 
@@ -90,9 +90,7 @@
 
     def start(self, machine: Machine) -> None:
         if machine.replica is None and not machine.removed:
-            machine.incarnation += 1
-            self.lookups[machine.host] = self.draw_lookups(machine)
-            machine.incarnation -= 1
+            self.lookups[machine.host] = self.draw_lookups(machine, machine.incarnation + 1)
         super().start(machine)
 
     # Connections
@@ -110,13 +108,7 @@
     def review_contacts(self, machine: Machine) -> None:
         """Look up the hosts that a replica needs connections to, as its node does."""
         lookups, replica = self.lookups[machine.host], machine.replica
-        contacts = find_contacts(
-            replica,
-            self.clock(machine),
-            replica.timing.forget_after_s,
-            lookups.seeds,
-            lambda: lookups.members,
-        )
+        contacts = find_contacts(replica, self.clock(machine), lookups.seeds, lambda: lookups.members)
         replica.contact_hosts = contacts.hosts
         added, lookups.wanted = contacts.hosts - lookups.wanted, contacts.hosts
         for host in lookups.connections.keys() - contacts.hosts:
--- a/tests/system/test_control_contacts.py
+++ b/tests/system/test_control_contacts.py
@@ -5,6 +5,7 @@
 import time
 from contextlib import contextmanager
 
+import pytest
 from gevent import socket
 from gevent.server import StreamServer
 
@@ -39,14 +40,13 @@
         proxy.stop()
 
 
-def test_a_successor_looks_up_core_machines_that_membership_learns_of_later(tmp_path):
+@pytest.mark.parametrize("seeds", [[HOST_WITHOUT_REPLICA], []], ids=["a seed without a replica", "no seed"])
+def test_a_successor_looks_up_core_machines_that_membership_learns_of_later(tmp_path, seeds):
     # Guards against a replica without a record that looks for the others at its start only (review/4).
     with cluster_in(tmp_path) as cluster:
         cluster.primary()
         member_hosts = []
-        successor = cluster.start(
-            NEWCOMER, bootstrap=False, seeds=[HOST_WITHOUT_REPLICA], member_hosts=member_hosts
-        )
+        successor = cluster.start(NEWCOMER, bootstrap=False, seeds=seeds, member_hosts=member_hosts)
         member_hosts += HOSTS
         await_that(lambda: is_voter(successor))
 
