Soak: one way each to freeze, restart and reserve machines; what nothing used is gone

The freezing of core and edge machines, restarts and the reserving around them stood several times; the expected configuration was computed twice; a program, a list of directories, a relay's host and a relay count had no reader; SystemProcess had two methods that send a signal. Checks and bounds are as they were.

--- a/src/nettledeal/standins/processes.py
+++ b/src/nettledeal/standins/processes.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
+from signal import Signals
 
 import gevent
 import msgspec
@@ -86,27 +86,28 @@
                 )
             self._log_changed.wait(remaining_s)
 
+    def signal(self, number: Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.running:
+            self._process.send_signal(number)
+
     def kill(self) -> None:
         """Kill it with SIGKILL."""
-        self._signal(signal.SIGKILL)
+        self.signal(Signals.SIGKILL)
         if self._process is not None:
             self._process.wait()
 
     def terminate(self) -> None:
         """Send SIGTERM; returns at once."""
-        self._signal(signal.SIGTERM)
+        self.signal(Signals.SIGTERM)
 
     def freeze(self) -> None:
         """Suspend it; its sockets stay open."""
-        self._signal(signal.SIGSTOP)
+        self.signal(Signals.SIGSTOP)
 
     def thaw(self) -> None:
         """Resume it after `freeze`."""
-        self._signal(signal.SIGCONT)
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal."""
-        self._signal(number)
+        self.signal(Signals.SIGCONT)
 
     def wait(self, within_s: float) -> int | None:
         """Its exit status, or None if it had to be killed after `within_s`."""
@@ -116,10 +117,6 @@
             self.kill()
             return None
 
-    def _signal(self, number: signal.Signals) -> None:
-        if self.running:
-            self._process.send_signal(number)
-
     def _read_log(self, log) -> None:
         with log:
             for line in log:
--- a/src/nettledeal/standins/soak.py
+++ b/src/nettledeal/standins/soak.py
@@ -23,8 +23,8 @@
 from nettledeal.operator_api.client import OperatorClient
 from nettledeal.standins.checks import broken_rules
 from nettledeal.standins.layout import Network
-from nettledeal.standins.processes import PROGRAM, wait_until
-from nettledeal.standins.scenario import BRIEF, CARD, QUESTION, make_configuration
+from nettledeal.standins.processes import wait_until
+from nettledeal.standins.scenario import BRIEF, CARD, QUESTION
 from nettledeal.standins.soak_clients import KeptClient, LostAnswer
 from nettledeal.standins.soak_events import SoakEvents
 from nettledeal.standins.soak_system import SoakSystem
@@ -68,11 +68,10 @@
         edges: int = 3,
         relays: int = 3,
         network: int = 0,
-        program: Path = PROGRAM,
     ):
         self.random = Random(f"{seed} soak")
         self.report = SoakReport(seed)
-        self.system = SoakSystem(folder, Network.of_this_process(network), edges, relays, BOUNDS, program)
+        self.system = SoakSystem(folder, Network.of_this_process(network), edges, relays, BOUNDS)
         self.events = SoakEvents(self.system, self.random, RECOVER_WITHIN_S)
         self.clients = [
             KeptClient(machine, parse_address(machine.settings.listen.frontend), kind, self._fork())
@@ -152,12 +151,9 @@
         )
 
     def _configuration_is_served(self) -> bool:
-        expected = make_configuration(
-            self.events.generation, with_extra_route=bool(self.events.generation % 2)
-        )
         try:
             return all(
-                OperatorClient([address], 2.0).get_configuration().body == expected
+                OperatorClient([address], 2.0).get_configuration().body == self.events.configuration
                 for address in self.system.control_addresses
             )
         except ServingError:
--- a/src/nettledeal/standins/soak_events.py
+++ b/src/nettledeal/standins/soak_events.py
@@ -34,7 +34,8 @@
     def __init__(self, system: SoakSystem, random: Random, recover_within_s: float):
         self.system, self.random = system, random
         self.recover_within_s = recover_within_s
-        self.generation = 0
+        self.configuration = b""  # the newest acknowledged
+        self._generation = 0
         self._busy: set[Machine] = set()
         self._putting = BoundedSemaphore()
 
@@ -92,16 +93,11 @@
 
     def stop_core(self) -> None:
         """Stop a core machine in order and start it again."""
-        core = self._any_core()
-        self._stop(core)
-        core.start()
+        self._restart_stopped([self._any_core()])
 
     def freeze_core(self) -> None:
         """Suspend a core machine for some time."""
-        core = self._any_core()
-        core.process.freeze()
-        gevent.sleep(MAX_FREEZE_S * self.random.random())
-        core.process.thaw()
+        self._freeze([self._any_core()])
 
     def wipe_core(self) -> None:
         """A core machine loses its disk."""
@@ -157,34 +153,25 @@
 
     def stop_edge(self) -> None:
         """Stop an edge machine in order and start it again."""
-        self._restart_stopped(self._reserve(self.system.edges, 1))
+        self._act_on_some(self.system.edges, 1, self._restart_stopped)
 
     def kill_edge(self) -> None:
         """Kill an edge machine and start it again."""
-        self._while_reserved(self._reserve(self.system.edges, 1), self._restart_killed)
+        self._act_on_some(self.system.edges, 1, self._restart_killed)
 
     def freeze_edge(self) -> None:
         """Suspend an edge machine for some time."""
-
-        def freeze(machines: list[Machine]) -> None:
-            for machine in machines:
-                machine.disruptions += 1
-                machine.process.freeze()
-            gevent.sleep(MAX_FREEZE_S * self.random.random())
-            for machine in machines:
-                machine.disruptions += 1
-                machine.process.thaw()
-
-        self._while_reserved(self._reserve(self.system.edges, 1), freeze)
+        self._act_on_some(self.system.edges, 1, self._freeze)
 
     def stop_relays(self) -> None:
-        """Stop some or all relays in order, and start them together."""
-        self._restart_stopped(self._reserve(self.system.relays, self._any_number(self.system.relays)))
+        """Stop one relay or all in order, and start them together."""
+        relays = self.system.relays
+        self._act_on_some(relays, self._any_number(relays), self._restart_stopped)
 
     def kill_relays(self) -> None:
-        """Kill some or all relays, and start them together."""
-        count = self._any_number(self.system.relays)
-        self._while_reserved(self._reserve(self.system.relays, count), self._restart_killed)
+        """Kill one relay or all, and start them together."""
+        relays = self.system.relays
+        self._act_on_some(relays, self._any_number(relays), self._restart_killed)
 
     def hang_up(self) -> None:
         """Send SIGHUP to some processes, several times."""
@@ -212,12 +199,12 @@
     def put_configuration(self) -> None:
         """Put the next configuration, once the one before is acknowledged."""
         with self._putting:
-            generation = self.generation + 1
+            generation = self._generation + 1
             body = make_configuration(generation, with_extra_route=bool(generation % 2))
-            answer = self.operator().put_configuration(body, self.generation)
+            answer = self.operator().put_configuration(body, self._generation)
             if answer.status != 200:
                 raise ServingError(ErrorCode.UNAVAILABLE, "put configuration", f"status {answer.status}")
-            self.generation = generation
+            self.configuration, self._generation = body, generation
 
     def evacuate(self) -> None:
         """Evacuate a zone and restore it."""
@@ -247,18 +234,15 @@
     def _pause(self) -> None:
         gevent.sleep(MAX_DOWN_S * self.random.random())
 
-    def _reserve(self, machines: list[Machine], count: int) -> list[Machine]:
-        """Some machines to which nothing else is happening; one machine at least stays untouched."""
+    def _act_on_some(self, machines: list[Machine], count: int, act: Callable[[list[Machine]], None]) -> None:
+        """Act on some machines to which nothing else is happening, at most `count`."""
         free = [machine for machine in machines if machine not in self._busy]
         chosen = self.random.sample(free, min(count, len(free)))
         self._busy.update(chosen)
-        return chosen
-
-    def _while_reserved(self, machines: list[Machine], act: Callable[[list[Machine]], None]) -> None:
         try:
-            act(machines)
+            act(chosen)
         finally:
-            self._busy.difference_update(machines)
+            self._busy.difference_update(chosen)
 
     def _restart_killed(self, machines: list[Machine]) -> None:
         for machine in machines:
@@ -269,12 +253,18 @@
             machine.start()
 
     def _restart_stopped(self, machines: list[Machine]) -> None:
-        def restart(reserved: list[Machine]) -> None:
-            gevent.joinall([gevent.spawn(self._stop, machine) for machine in reserved], raise_error=True)
-            for machine in reserved:
-                machine.start()
+        gevent.joinall([gevent.spawn(self._stop, machine) for machine in machines], raise_error=True)
+        for machine in machines:
+            machine.start()
 
-        self._while_reserved(machines, restart)
+    def _freeze(self, machines: list[Machine]) -> None:
+        for machine in machines:
+            machine.disruptions += 1
+            machine.process.freeze()
+        gevent.sleep(MAX_FREEZE_S * self.random.random())
+        for machine in machines:
+            machine.disruptions += 1
+            machine.process.thaw()
 
     def _stop(self, machine: Machine) -> None:
         """SIGTERM once the process serves; raises ServingError if it doesn't end with status 0."""
@@ -288,7 +278,7 @@
         # Before it serves, the signal would end the process (issue 68).
         with suppress(ServingError):
             machine.process.wait_for("process:started", 0.0)
-            machine.process.send(SIGHUP)
+            machine.process.signal(SIGHUP)
 
 
 def _in_sync_hosts(report: StatusReport | None) -> list[str]:
--- a/src/nettledeal/standins/soak_system.py
+++ b/src/nettledeal/standins/soak_system.py
@@ -13,7 +13,7 @@
 from nettledeal.standins.backend import EngineSpeed, StandInBackend
 from nettledeal.standins.layout import Layout, MachineClass, Network, Port, Zone, write_settings
 from nettledeal.standins.platform_list import PlatformList
-from nettledeal.standins.processes import PROGRAM, SystemProcess
+from nettledeal.standins.processes import SystemProcess
 from nettledeal.standins.scenario import make_backends
 
 STOP_TIMEOUT_S = 15.0
@@ -24,7 +24,6 @@
 class SoakLayout(Layout):
     """A layout whose settings name the seeds of the moment; relays run on the first edge machines."""
 
-    relays: int = 3
     seeds: list[str] = field(default_factory=list)
 
     def relay_settings(self, number: int) -> Settings:
@@ -37,10 +36,6 @@
             edge, role=str(MachineClass.CORE), serves=["control_plane", "registry"], listen=listen
         )
 
-    def relay_host(self, number: int) -> str:
-        """The address of the machine of a relay."""
-        return self.edge_settings(number).ip
-
     def _settings(self, name: str, role: MachineClass, host: str, zone: Zone, listen: Listen) -> Settings:
         settings = super(SoakLayout, self)._settings(name, role, host, zone, listen)
         return msgspec.structs.replace(settings, seeds=list(self.seeds) or settings.seeds)
@@ -94,11 +89,9 @@
 class SoakSystem:
     """All processes and stand-ins of one soak; stops everything that it started."""
 
-    def __init__(
-        self, folder: Path, network: Network, edges: int, relays: int, bounds: Bounds, program: Path = PROGRAM
-    ):
-        self.folder, self._program = folder, program
-        self.layout = SoakLayout(network, edges=edges, relays=relays, bounds=bounds)
+    def __init__(self, folder: Path, network: Network, edges: int, relays: int, bounds: Bounds):
+        self.folder = folder
+        self.layout = SoakLayout(network, edges=edges, bounds=bounds)
         self._core_count = self.layout.cores
         self._started: list[SystemProcess] = []
         self.cores = [self._make_core(number, number, True) for number in range(self.layout.cores)]
@@ -119,11 +112,6 @@
         """Where operators are served now: core machines and relays."""
         return [machine.control_address for machine in (*self.cores, *self.relays)]
 
-    @property
-    def directories(self) -> list[Address]:
-        """The directories of the relays, whose addresses stay the same."""
-        return [Address(machine.settings.ip, Port.DIRECTORY) for machine in self.relays]
-
     def start(self) -> None:
         """Start the stand-ins and all processes; returns at once."""
         for standin in (self._platform, *self.backends):
@@ -186,6 +174,5 @@
 
     def _make_machine(self, name: str, role: MachineClass, make_settings: Callable[[], Settings]) -> Machine:
         process = SystemProcess(name, str(role), self.folder / f"{name}.toml")
-        process.program = self._program
         self._started.append(process)
         return Machine(process, make_settings)
