Core machines: membership also tries the voters of the replica's record

What callers saw: after all processes had restarted with seeds that were gone, the core machines were in sync again, but the status page of each named itself alone as a member, and so did its directory, for good.

Cause: replicas find one another by the record on their disks; membership was told of the settings' seeds alone. Others held dead are tried again, but a process that has just started holds nobody dead.

Told apart by the status page: `epoch.in_sync` has all three, `members` one. So neither the network nor the replicas were at fault, but whom membership tries.

Why this works: each new epoch's record, also the one read from the disk, is told to membership, which tries its voters' hosts like seeds until they are members.

Test (real processes): failed before after 20 s (recovery_s + 2 x contact_ms), passes now.

--- a/src/nettledeal/control/change_notifier.py
+++ b/src/nettledeal/control/change_notifier.py
@@ -15,11 +15,13 @@
 class ChangeNotifier:
     """Compares what it is given with what it told last; to be called after every input to the replica.
 
-    `on_commit` callbacks receive each newly committed state; `on_reader_changed` is called when the reader of
-    the platform's list changes. They run on the event loop and must not block.
+    `on_epoch` callbacks receive the record of each new epoch, `on_commit` callbacks each newly committed
+    state; `on_reader_changed` is called when the reader of the platform's list changes. They run on the event
+    loop and must not block.
     """
 
     def __init__(self) -> None:
+        self.on_epoch: list[Callable[[EpochRecord], None]] = []
         self.on_commit: list[Callable[[ControlState], None]] = []
         self.on_reader_changed: Callable[[], None] = lambda: None
         self._epoch = -1
@@ -27,7 +29,7 @@
         self._sequence = -1
 
     def epoch_is(self, record: EpochRecord | None) -> None:
-        """Log an epoch that is new."""
+        """Log and tell of an epoch that is new."""
         if record is None or record.epoch == self._epoch:
             return
         self._epoch = record.epoch
@@ -38,6 +40,8 @@
             in_sync=list(record.in_sync),
             voters=[f"{voter.replica_id}@{voter.host}" for voter in record.voters],
         )
+        for callback in self.on_epoch:
+            callback(record)
 
     def reader_is(self, reader: Reader) -> None:
         """Tell of a reader, or a term, that is new."""
--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import StrEnum
 from random import Random
 
@@ -124,7 +124,8 @@
         """`seeds`: the seeds in force, where they may change."""
         self._settings = settings
         self._seeds = seeds or SeedList(settings)
-        self._seeds.on_change.append(self._on_seeds_changed)
+        self._seeds.on_change.append(self._review_seeds)
+        self._replica_hosts: list[str] = []
         self._role = role
         self._ready = Event()
         self._stopped = False
@@ -192,6 +193,11 @@
             ]
         return self._members
 
+    def use_replica_hosts(self, hosts: Iterable[str]) -> None:
+        """Also try these hosts of core machines, beside the seeds, which may all be gone."""
+        self._replica_hosts = sorted(hosts)
+        self._review_seeds()
+
     def core_hosts(self) -> list[str]:
         """The hosts of live processes that have a replica of the control state."""
         return [member.host for member in self.members() if member.role == Role.CORE]
@@ -215,9 +221,12 @@
         return max(1 if self.member.joined else ASSUMED_BEFORE_JOINING, live + lost)
 
     def _seed_addresses(self) -> list[tuple[str, int]]:
-        return [tuple(seed) for seed in self._seeds.addresses(InternalPort.CORE_MEMBERSHIP)]
+        seeds = self._seeds.addresses(InternalPort.CORE_MEMBERSHIP)
+        port = self._settings.port_range[0] + InternalPort.CORE_MEMBERSHIP
+        replicas = (Address(host, port) for host in self._replica_hosts)
+        return [tuple(address) for address in dict.fromkeys((*seeds, *replicas))]
 
-    def _on_seeds_changed(self) -> None:
+    def _review_seeds(self) -> None:
         if not self._stopped:
             self._host.set_seeds(self._seed_addresses())
 
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -13,6 +13,7 @@
 from nettledeal.common.errors import ServingError
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
+from nettledeal.control.messages import EpochRecord
 from nettledeal.control.node import ControlNode
 from nettledeal.control.state import ControlState
 from nettledeal.discovery.catalogue_reader import CatalogueReader
@@ -58,6 +59,7 @@
         self.membership = MembershipNode(settings, Role.CORE, seeds)
         self.node.use_member_hosts(self.membership.core_hosts)
         self.membership.on_change.append(self.node.review_contacts)
+        self.node.changes.on_epoch.append(self._try_voters_as_members)
         self.registry = RegistryServer(settings, self.membership) if settings.listen.directory else None
         self.operator_api = OperatorServer(
             settings,
@@ -98,6 +100,9 @@
             self.registry.stop()
         self.membership.stop()
 
+    def _try_voters_as_members(self, record: EpochRecord) -> None:
+        self.membership.use_replica_hosts(voter.host for voter in record.voters)
+
     def _publish_control(self, state: ControlState) -> None:
         entries = control_entries(state.entries)
         if self.control.publish((state.sequence,), entries):
