Membership: a member without seeds at its start goes on trying those that it is told of

What callers saw: a process whose settings file named no other seed at its start took up to 6 s to join through one that was named later, once that was up; catch_up_s is 4 s.

Cause: attempts to join were scheduled at the start, and only if there were seeds then. Later seeds were tried once, and after that by the timer that tries members held dead, every 2 to 6 s.

Told apart in virtual time by what contacts the seed: with seeds at the start the timer of joining, else the other one alone.

Why this works: a change of the seeds begins the attempts anew unless they are under way.

--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -23,11 +23,19 @@
 
     def _join(self) -> None:
         """Contact seeds with exponential backoff until another member is known."""
-        if not self.ring and self.seeds:
+        self.joining = not self.ring and bool(self.seeds)
+        if self.joining:
             self._sync_with_seeds()
             self._schedule(self.now + self._jittered(self.join_backoff), "join")
             self.join_backoff = min(MAX_JOIN_BACKOFF_TENTHS, 2 * self.join_backoff)
 
+    def _rejoin(self) -> None:
+        """Contact seeds that have changed, now and until another member is known."""
+        if self.joining:
+            self._sync_with_seeds()
+        else:
+            self._join()
+
     def _sync_with_seeds(self) -> None:
         for seed in self.rng.sample(self.seeds, min(2, len(self.seeds))):
             self._sync_with(seed)
--- a/src/nettledeal/membership/member.py
+++ b/src/nettledeal/membership/member.py
@@ -156,11 +156,11 @@
         return self._finish_step()
 
     def set_seeds(self, now: Time, seeds: Iterable[Address]) -> Step:
-        """Replace the seeds; a member that knows no other contacts them at once."""
+        """Replace the seeds; a member that knows no other contacts them at once, and goes on trying."""
         self._advance_clock(now)
         self.use_seeds(seeds)
-        if not self.silent and not self.ring and self.seeds:
-            self._sync_with_seeds()
+        if not self.silent and not self.ring:
+            self._rejoin()
         return self._finish_step()
 
     def leave(self, now: Time) -> Step:
--- a/src/nettledeal/membership/member_base.py
+++ b/src/nettledeal/membership/member_base.py
@@ -64,6 +64,7 @@
         self.timer_count = 0
         self.gossip_scheduled = False
         self.joined = not self.seeds
+        self.joining = False  # whether another attempt to join is scheduled
         self.join_backoff = INITIAL_JOIN_BACKOFF_TENTHS
         # The first exchange comes early: when many members join at once, some miss others and would go on
         # missing them until the next full exchange. With digests it comes after most updates of a common
--- a/tests/system/test_membership_seeds.py
+++ b/tests/system/test_membership_seeds.py
@@ -70,20 +70,22 @@
     assert len(member.live_members()) == MEMBERS + 1
 
 
-def start_alone(group: Group, late: tuple[str, int]) -> Member:
-    """A member whose only seed has not started."""
+def start_alone(group: Group, late: tuple[str, int], without_seeds: bool = False) -> Member:
+    """A member whose only seed has not started, named to it at its start or directly after that."""
     group.run(10)
-    seeds, group.seeds = group.seeds, [late]
+    seeds, group.seeds = group.seeds, [] if without_seeds else [late]
     member = group.members[group.add(MEMBERS)]
+    if without_seeds:
+        group._carry_out(member.address, member.set_seeds(group.now, [late]))
     group.run(30)
     group.seeds = seeds
     return member
 
 
-def knows_all_after(seed: int, within_s: float) -> bool:
+def knows_all_after(seed: int, within_s: float, without_seeds: bool = False) -> bool:
     """Whether a member that was alone knows all so long after its only seed has started."""
     group = Group(MEMBERS - CORES, seed)
-    member = start_alone(group, LATE_ADDRESS)
+    member = start_alone(group, LATE_ADDRESS, without_seeds)
     group.add(LATE)
     group.run(within_s)
     return len(member.live_members()) == MEMBERS + 2
@@ -94,6 +96,11 @@
     assert [seed for seed in range(10) if not knows_all_after(seed, CATCH_UP_S)] == []
 
 
+def test_a_member_started_without_seeds_goes_on_trying_those_that_it_is_told_of():
+    # Guards against attempts to join that are scheduled only if there were seeds at the start.
+    assert [seed for seed in range(10) if not knows_all_after(seed, CATCH_UP_S, without_seeds=True)] == []
+
+
 def test_a_member_that_was_alone_exchanges_views_as_soon_after_its_start_as_any_other():
     # Guards against a pause between exchanges that grows while there is nobody to exchange with: the seeds
     # are those of which the new member met the late one before that had met the rest.
