Data plane: one way to close without a drain, which its test rig uses

The rig closed parts of it one by one and left the maintenance greenlet of each test's data plane running: after the disconnect tests 95 greenlets were alive.

--- a/src/nettledeal/dataplane/agent.py
+++ b/src/nettledeal/dataplane/agent.py
@@ -177,6 +177,10 @@
         self.ingress.drain()
         self._publish_ready_change(was_ready)
         Drain(self.ingress, self.settings.bounds).run()
+        self.close()
+
+    def close(self) -> None:
+        """Close all but the connections of clients, without a drain."""
         self.connections.close()
         self.readiness.stop()
         if self._maintenance is not None:
--- a/tests/system/dataplane_rig.py
+++ b/tests/system/dataplane_rig.py
@@ -328,7 +328,6 @@
         for client in rig.clients:
             client.close()
         plane.ingress.stop_accepting()
-        plane.readiness.stop()
-        plane.connections.close()
+        plane.close()
         for backend in backends:
             backend.stop()
