Control node and membership node: queries and members in modules of their own

No change in behaviour; the 1,518 tests of the parallel lane pass, and 47 of the sequential one for what was touched.

--- a/src/nettledeal/control/node.py
+++ b/src/nettledeal/control/node.py
@@ -11,7 +11,7 @@
 import gevent
 from gevent.event import AsyncResult, Event
 
-from nettledeal.common.addresses import Address, InternalPort, parse_address
+from nettledeal.common.addresses import InternalPort
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
@@ -21,11 +21,11 @@
 from nettledeal.control.contact_review import ContactReview
 from nettledeal.control.effect_executor import EffectExecutor
 from nettledeal.control.effects import DurableState
-from nettledeal.control.identity import CoreMember, core_member, first_identity, own_info
+from nettledeal.control.identity import first_identity, own_info
 from nettledeal.control.mesh import Mesh
-from nettledeal.control.messages import NO_INCARNATIONS, EpochRecord, Hello, Message, ReplicaInfo
-from nettledeal.control.reader_role import ReaderTerm
+from nettledeal.control.messages import Hello, Message, ReplicaInfo
 from nettledeal.control.replica import Replica
+from nettledeal.control.replica_queries import ReplicaQueries
 from nettledeal.control.state import Command, ControlState, Outcome
 from nettledeal.control.storage import Storage
 from nettledeal.control.timing import timing_for
@@ -39,7 +39,7 @@
 CALL_SHARE_OF_ACK = 0.8
 
 
-class ControlNode:
+class ControlNode(ReplicaQueries):
     """One core machine's replica of the control state.
 
     `changes` has the callbacks for commits and readers. `on_refused` receives the reason (FOREIGN_DATA) if
@@ -66,7 +66,6 @@
             self._on_refused,
             self._timing.silence_s * 1.5,
         )
-        self._replica: Replica | None = None
         self._executor = EffectExecutor(settings.ip, self._writer, self._mesh)
         self._running_effects = False
         self._last_call_id = 0
@@ -116,82 +115,13 @@
         gevent.killall(self._greenlets, block=False)
         self._writer.stop()
 
-    # Queries and calls
-
-    @property
-    def state(self) -> ControlState:
-        """The last state known to be committed; empty (sequence 0) after a start until one is known."""
-        committed = self._replica.replicated.committed if self._replica else None
-        return committed or ControlState()
-
-    @property
-    def is_primary(self) -> bool:
-        """Whether this replica is the primary of the last epoch that it knows."""
-        return self._replica is not None and self._replica.primary is not None
-
-    @property
-    def primary_address(self) -> Address | None:
-        """The address at which the primary serves operators."""
-        record = self._replica.record if self._replica else None
-        if record is None:
-            return None
-        for voter in record.voters:
-            if voter.replica_id == record.primary and voter.control_plane:
-                return parse_address(voter.control_plane)
-        return None
-
-    @property
-    def epoch_record(self) -> EpochRecord | None:
-        """The last decided epoch known here."""
-        return self._replica.record if self._replica else None
-
-    @property
-    def replica_id(self) -> str:
-        """The identity of this replica's disk."""
-        return self._replica.info.replica_id
-
-    @property
-    def reader(self) -> str | None:
-        """The replica that is to read the platform's list.
-
-        None also if that is this replica and its current incarnation hasn't been granted the role.
-        """
-        replica = self._replica
-        if replica is None:
-            return None
-        reader = replica.current_appointment.reader
-        if reader == replica.info.replica_id and not replica.is_reader:
-            return None
-        return reader or None
-
-    @property
-    def reader_term(self) -> ReaderTerm:
-        """The term of the current reader; terms order the appointments."""
-        replica = self._replica
-        if replica is None or replica.record is None:
-            return ReaderTerm(-1, 0)
-        appointment = replica.current_appointment
-        # On a backup both values come from the same heartbeat: numbers restart with each epoch, and a term
-        # must never go back.
-        epoch = replica.record.epoch if replica.primary else replica.reader_epoch
-        return ReaderTerm(epoch, appointment.number, appointment.incarnation != NO_INCARNATIONS)
+    # Calls
 
     def report_reading(self, ok: bool) -> None:
         """Record whether the reader's last reading of the platform's list succeeded."""
         if ok:
             self._last_reading_at = time.monotonic()
 
-    def confirmed_age_s(self) -> float:
-        """Seconds since the local state was last confirmed to be the newest; infinite before that."""
-        return self._replica.confirmed_age_s(time.monotonic()) if self._replica else float("inf")
-
-    def cores(self) -> list[CoreMember]:
-        """The core machines that are voters."""
-        record = self._replica.record if self._replica else None
-        if record is None:
-            return []
-        return [core_member(voter) for voter in record.voters]
-
     def submit(self, command: Command, timeout_s: float | None = None) -> Outcome:
         """Commit a command on all in-sync replicas and return its outcome.
 
--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -4,14 +4,13 @@
 
 import time
 from collections.abc import Callable, Iterable
-from enum import StrEnum
 from random import Random
 
 import gevent
 import msgspec
 from gevent.event import Event
 
-from nettledeal.common.addresses import Address, InternalPort, parse_address
+from nettledeal.common.addresses import Address, InternalPort
 from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
@@ -19,8 +18,9 @@
 from nettledeal.membership.cbor_codec import CborCodec
 from nettledeal.membership.host import Host
 from nettledeal.membership.member import Member
+from nettledeal.membership.member_info import MemberInfo, Role, is_directory, member_info, own_metadata
 from nettledeal.membership.recent_deaths import RecentDeaths
-from nettledeal.membership.view import MemberRecord, Metadata, State
+from nettledeal.membership.view import State
 from nettledeal.membership.zone_suspicion import suspect_zones
 
 # Name of the cluster of one deployment; packets of another cluster are refused.
@@ -45,36 +45,11 @@
 _NANOSECONDS_PER_TICK = 100_000
 
 
-class Role(StrEnum):
-    """Which program a member runs."""
-
-    EDGE = "edge"
-    CORE = "core"
-    RELAY = "relay"
-
-
 _PORTS = {
     Role.EDGE: InternalPort.EDGE_MEMBERSHIP,
     Role.CORE: InternalPort.CORE_MEMBERSHIP,
     Role.RELAY: InternalPort.CORE_MEMBERSHIP,
 }
-# Members that tell clients which member to connect to. Changes are sent to them at once.
-DIRECTORY_ROLES = frozenset({Role.CORE, Role.RELAY})
-
-
-class MemberInfo(msgspec.Struct, frozen=True):
-    """A live member, as far as is known. `incarnation` differs between two processes of the same name."""
-
-    name: str
-    role: str
-    zone: str
-    region: str
-    host: str
-    frontend: str | None
-    ready: bool
-    leaving: bool
-    suspected: bool
-    incarnation: int
 
 
 class SteadyClock:
@@ -143,7 +118,7 @@
             Random(),
             self._clock.now(),
             codec=CborCodec(),
-            metadata=_own_metadata(settings, role),
+            metadata=own_metadata(settings, role),
         )
         self._recent_deaths = RecentDeaths(self.member.view, self._clock.now, self._on_view_changed)
         self._host = Host(
@@ -187,7 +162,7 @@
         """The live members by name, this process among them; a cached list that callers must not change."""
         if self._members is None:
             self._members = [
-                _member_info(record, self._settings.zones)
+                member_info(record, self._settings.zones)
                 for record in self.member.live_members()
                 if record.metadata is not None
             ]
@@ -239,7 +214,7 @@
     def _update_metadata(self, **changes: object) -> None:
         metadata = msgspec.structs.replace(self.member.own_record.metadata, **changes)
         directories = [
-            Address(*record.address) for record in self.member.view.live_records() if _is_directory(record)
+            Address(*record.address) for record in self.member.view.live_records() if is_directory(record)
         ]
         self._host.set_metadata(metadata, directories)
         for delay_s in REPEAT_AFTER_S:
@@ -249,7 +224,7 @@
     def _on_action(self, action: Action) -> None:
         if not isinstance(action, MemberChanged):
             return
-        if action.previous_state is None and action.record.live and _is_directory(action.record):
+        if action.previous_state is None and action.record.live and is_directory(action.record):
             # A directory member that has just joined may have received an outdated record of this one.
             self._host.announce_to([Address(*action.record.address)])
         if action.record.state == State.DEAD:
@@ -262,31 +237,5 @@
             callback()
 
 
-def _own_metadata(settings: Settings, role: Role) -> Metadata:
-    frontend = settings.listen.frontend
-    port = parse_address(frontend).port if frontend else 0
-    return Metadata(str(role), settings.zone, port)
-
-
-def _is_directory(record: MemberRecord) -> bool:
-    return record.metadata is not None and record.metadata.role in DIRECTORY_ROLES
-
-
-def _member_info(record: MemberRecord, regions: dict[str, str]) -> MemberInfo:
-    metadata = record.metadata
-    return MemberInfo(
-        name=record.name,
-        role=metadata.role,
-        zone=metadata.zone,
-        region=regions.get(metadata.zone, metadata.zone),
-        host=record.host,
-        frontend=f"{record.host}:{metadata.frontend_port}" if metadata.frontend_port else None,
-        ready=metadata.ready,
-        leaving=metadata.leaving,
-        suspected=record.state == State.SUSPECT,
-        incarnation=record.started_at,
-    )
-
-
 def _ignore_count(_: str) -> None:
     pass
--- a/src/nettledeal/operator_api/redirection.py
+++ b/src/nettledeal/operator_api/redirection.py
@@ -9,7 +9,7 @@
 from nettledeal.common.http_server import HttpServer
 from nettledeal.common.settings import Settings
 from nettledeal.distribution.core_directory import CoreMachine
-from nettledeal.membership.node import MemberInfo, Role
+from nettledeal.membership.member_info import MemberInfo, Role
 from nettledeal.operator_api.messages import Response, redirected, unclear
 
 
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -22,7 +22,8 @@
 from nettledeal.distribution.published_source import PublishedSource
 from nettledeal.distribution.publisher import Publisher
 from nettledeal.distribution.subscriber import Subscriber
-from nettledeal.membership.node import MembershipNode, Role
+from nettledeal.membership.member_info import Role
+from nettledeal.membership.node import MembershipNode
 from nettledeal.operator_api.server import OperatorServer
 from nettledeal.programs.process import run_plane
 from nettledeal.programs.share_loop import ShareLoop
--- a/src/nettledeal/programs/control_relay.py
+++ b/src/nettledeal/programs/control_relay.py
@@ -16,7 +16,8 @@
 from nettledeal.distribution.control_source import CONTROL_SOURCE
 from nettledeal.distribution.core_directory import CORES_SOURCE, CoreDirectory
 from nettledeal.distribution.subscriber import Subscriber
-from nettledeal.membership.node import MembershipNode, Role
+from nettledeal.membership.member_info import Role
+from nettledeal.membership.node import MembershipNode
 from nettledeal.operator_api.redirection import CoreChooser, RedirectionServer
 from nettledeal.registry.server import RegistryServer
 
--- a/src/nettledeal/programs/data_plane.py
+++ b/src/nettledeal/programs/data_plane.py
@@ -17,7 +17,8 @@
 from nettledeal.distribution.core_directory import CORES_SOURCE, CoreDirectory
 from nettledeal.distribution.protocol import BackendFindings
 from nettledeal.distribution.subscriber import Subscriber
-from nettledeal.membership.node import MembershipNode, Role
+from nettledeal.membership.member_info import Role
+from nettledeal.membership.node import MembershipNode
 from nettledeal.programs.process import run_plane
 
 # What is found within this time goes into one report to the other agents.
--- a/src/nettledeal/programs/share_loop.py
+++ b/src/nettledeal/programs/share_loop.py
@@ -10,7 +10,8 @@
 from nettledeal.common.logs import log_event
 from nettledeal.control.node import ControlNode
 from nettledeal.control.state import ChangeShares
-from nettledeal.membership.node import MembershipNode, Role
+from nettledeal.membership.member_info import Role
+from nettledeal.membership.node import MembershipNode
 from nettledeal.shares.roster import shares_in
 from nettledeal.shares.roster_updater import RosterUpdater
 
--- a/src/nettledeal/registry/leaving_members.py
+++ b/src/nettledeal/registry/leaving_members.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from nettledeal.membership.node import MemberInfo
+from nettledeal.membership.member_info import MemberInfo
 from nettledeal.registry.resolve_responses import SHORT_TTL_S
 
 # Clients use a response for up to this many times its TTL.
--- a/src/nettledeal/registry/region_directories.py
+++ b/src/nettledeal/registry/region_directories.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from nettledeal.membership.node import DIRECTORY_ROLES, MemberInfo
+from nettledeal.membership.member_info import DIRECTORY_ROLES, MemberInfo
 
 
 class RegionDirectories:
--- a/src/nettledeal/registry/resolve_responses.py
+++ b/src/nettledeal/registry/resolve_responses.py
@@ -9,7 +9,7 @@
 import orjson
 import xxhash
 
-from nettledeal.membership.node import MemberInfo, Role
+from nettledeal.membership.member_info import MemberInfo, Role
 from nettledeal.registry.region_directories import RegionDirectories
 
 MAX_ADDRESSES = 64
--- a/tests/system/simulated_members.py
+++ b/tests/system/simulated_members.py
@@ -11,7 +11,8 @@
 from nettledeal.membership.actions import SECOND, SendDatagram, Step, StreamRequest
 from nettledeal.membership.cbor_codec import CborCodec
 from nettledeal.membership.member import Member
-from nettledeal.membership.node import CLUSTER, Role, timing_for
+from nettledeal.membership.member_info import Role
+from nettledeal.membership.node import CLUSTER, timing_for
 from nettledeal.membership.packets import MAX_STREAM_BYTES
 from nettledeal.membership.view import Metadata
 
--- a/tests/system/test_control_reader_term.py
+++ b/tests/system/test_control_reader_term.py
@@ -5,8 +5,8 @@
 from types import SimpleNamespace
 
 from nettledeal.control.change_notifier import ChangeNotifier
-from nettledeal.control.node import ControlNode, ReaderTerm
-from nettledeal.control.reader_role import ReaderAppointment
+from nettledeal.control.node import ControlNode
+from nettledeal.control.reader_role import ReaderAppointment, ReaderTerm
 
 
 def node_with(replica: SimpleNamespace) -> ControlNode:
--- a/tests/system/test_control_relay.py
+++ b/tests/system/test_control_relay.py
@@ -15,7 +15,7 @@
     core_entries,
     read_cores,
 )
-from nettledeal.membership.node import Role
+from nettledeal.membership.member_info import Role
 from nettledeal.operator_api.redirection import CoreChooser, RedirectionServer
 from nettledeal.programs import control_plane
 from nettledeal.programs.control_relay import ControlRelay
--- a/tests/system/test_membership_node.py
+++ b/tests/system/test_membership_node.py
@@ -13,7 +13,8 @@
 from nettledeal.membership import node as membership_node
 from nettledeal.membership.actions import SECOND
 from nettledeal.membership.cbor_codec import CborCodec
-from nettledeal.membership.node import LOST_MEMBER_COUNTED_S, MembershipNode, Role
+from nettledeal.membership.member_info import Role
+from nettledeal.membership.node import LOST_MEMBER_COUNTED_S, MembershipNode
 from nettledeal.membership.packets import MAX_DATAGRAM_BYTES, PING, VERSION, Packet, PacketError
 from nettledeal.membership.view import MemberRecord, Metadata, State
 
--- a/tests/system/test_registry_responses.py
+++ b/tests/system/test_registry_responses.py
@@ -10,7 +10,7 @@
 from nettledeal.common.settings import Listen, Settings
 from nettledeal.control.state import CONFIGURATION_KEY
 from nettledeal.distribution.control_source import control_entries
-from nettledeal.membership.node import MemberInfo
+from nettledeal.membership.member_info import MemberInfo
 from nettledeal.membership.zone_suspicion import suspect_zones
 from nettledeal.registry.leaving_members import LeavingMembers
 from nettledeal.registry.resolve_responses import (
--- a/tests/system/test_shares.py
+++ b/tests/system/test_shares.py
@@ -21,7 +21,8 @@
 from nettledeal.dataplane.retry_budget import BudgetTerms, EqualShare, LeasedShare, RetryBudget
 from nettledeal.dataplane.selection.model import ServiceProfile, Tuning
 from nettledeal.dataplane.selection.warmup import RecentMembers, WarmupShares
-from nettledeal.membership.node import ASSUMED_BEFORE_JOINING, MemberInfo
+from nettledeal.membership.member_info import MemberInfo
+from nettledeal.membership.node import ASSUMED_BEFORE_JOINING
 from nettledeal.programs.share_loop import ShareLoop
 from nettledeal.shares import lease, roster_updater
 from nettledeal.shares.lease import ShareLease
