--- a/src/nettledeal/standins/soak_events.py
+++ b/src/nettledeal/standins/soak_events.py
@@ -14,10 +14,10 @@
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.operator_api.client import OperatorClient
 from nettledeal.operator_api.status import StatusReport
-from nettledeal.standins.layout import Zone
+from nettledeal.standins.layout import SEEDS, Zone
 from nettledeal.standins.processes import wait_until
 from nettledeal.standins.scenario import make_configuration
-from nettledeal.standins.soak_system import Machine, SoakSystem
+from nettledeal.standins.soak_system import Machine, SoakSystem, seed_addresses
 
 ORDER_WITHIN_S = 20.0
 STATUS_WITHIN_S = 2.0
@@ -81,6 +81,7 @@
             self.replace_stopped_core,
             self.add_core_then_stop,
             self.kill_all_cores,
+            self.lose_all_power,
         ]
 
     def kill_core(self) -> None:
@@ -91,6 +92,19 @@
         """Kill all core machines at once; their disks are kept."""
         self._restart_killed(self.system.cores)
 
+    def lose_all_power(self) -> None:
+        """Kill all processes but those that are being acted on; the core machines come back with their disks
+        and with settings that name seeds which are gone."""
+        cores = self.system.cores
+        for core in cores:
+            core.own_seeds = seed_addresses(self._gone_hosts(SEEDS))
+        others = [*self.system.edges, *self.system.relays]
+        self._act_on_some(others, len(others), lambda free: self._restart_killed([*cores, *free]))
+        self.wait_settled()
+        for core in cores:
+            core.own_seeds = []
+            core.write_settings()
+
     def stop_core(self) -> None:
         """Stop a core machine in order and start it again."""
         self._restart_stopped([self._any_core()])
--- a/src/nettledeal/standins/soak_system.py
+++ b/src/nettledeal/standins/soak_system.py
@@ -45,19 +45,22 @@
 class Machine:
     """One process and how its settings are made.
 
-    `bootstrap` holds until the first start. `disruptions` counts kills, freezes and thaws: a request during
-    which it changes may be lost.
+    `bootstrap` holds until the first start. `own_seeds`, if any, stand in its settings file in place of the
+    system's. `disruptions` counts kills, freezes and thaws: a request during which it changes may be lost.
     """
 
     process: SystemProcess
     make_settings: Callable[[], Settings]
     bootstrap: bool = False
+    own_seeds: list[str] = field(default_factory=list)
     disruptions: int = 0
 
     @property
     def settings(self) -> Settings:
         """Its settings, with the seeds of this moment."""
-        return msgspec.structs.replace(self.make_settings(), bootstrap=self.bootstrap)
+        settings = self.make_settings()
+        seeds = self.own_seeds or settings.seeds
+        return msgspec.structs.replace(settings, bootstrap=self.bootstrap, seeds=seeds)
 
     @property
     def member_name(self) -> str:
@@ -86,6 +89,11 @@
         self.bootstrap = False
 
 
+def seed_addresses(hosts: Sequence[str]) -> list[str]:
+    """The seeds of a settings file, for machines at these hosts."""
+    return [f"{host}:{int(Port.CONTROL_PLANE)}" for host in hosts]
+
+
 class SoakSystem:
     """All processes and stand-ins of one soak; stops everything that it started."""
 
@@ -129,7 +137,7 @@
 
     def name_seeds(self, seeds: Sequence[str]) -> None:
         """Have all settings files name these seeds; no process is signalled."""
-        self.layout.seeds[:] = [f"{seed}:{int(Port.CONTROL_PLANE)}" for seed in seeds]
+        self.layout.seeds[:] = seed_addresses(seeds)
         for machine in self.machines:
             machine.write_settings()
 
