Soak: core machines are settled once their own replicas are in sync, not replicas at their addresses

The trace: core-5 lost its disk; for the first instant the epoch still names the replica of the lost disk at the same address, which the rig took for the new one, and it killed the primary 0.5 s later. Two of three voters lost within catch_up_s is more than fault_tolerance bears, so the rig was at fault; the check is stricter now.

--- a/src/nettledeal/standins/soak_events.py
+++ b/src/nettledeal/standins/soak_events.py
@@ -59,7 +59,7 @@
         return [
             machine.process.name
             for machine in self.system.cores
-            if _in_sync_hosts(self.status(machine)) != running
+            if not _knows_all_in_sync(self.status(machine), running)
         ]
 
     def wait_settled(self) -> None:
@@ -295,6 +295,18 @@
             machine.process.signal(SIGHUP)
 
 
+def _knows_all_in_sync(report: StatusReport | None, hosts: list[str]) -> bool:
+    """Whether the machine's own replica and replicas at all hosts are in sync, as far as the machine knows.
+
+    Hosts alone don't tell: after the loss of a disk they are those of the replica that went with it.
+    """
+    return (
+        report is not None
+        and report.epoch.replica_id in report.epoch.in_sync
+        and _in_sync_hosts(report) == hosts
+    )
+
+
 def _in_sync_hosts(report: StatusReport | None) -> list[str]:
     """The hosts of the voters that are in sync; none unless all voters are."""
     if report is None:
