Membership: attempts to join go on until views were exchanged, and equal views count

What callers saw: where the answer to its first exchange was lost, a process learned of all members by gossip and yet counted as not joined, so it divided its connections and budgets by the 64 members that it assumes until then.

Cause: attempts ended with the first member known, not with the first exchange; a comparison that found two views equal did not count as one; and joining was noticed only when some member changed.

Why this works: whoever is alone asks seeds, whoever isn't asks a member, until views were exchanged; `Joined` tells the rest of the process.

--- a/src/nettledeal/membership/actions.py
+++ b/src/nettledeal/membership/actions.py
@@ -56,7 +56,11 @@
     record: MemberRecord
 
 
-Action = SendDatagram | StreamRequest | MemberChanged | OrderReceived | NameConflict
+class Joined(msgspec.Struct, frozen=True):
+    """Views were exchanged with another member for the first time: this member knows the group."""
+
+
+Action = SendDatagram | StreamRequest | MemberChanged | OrderReceived | NameConflict | Joined
 
 
 class Step(msgspec.Struct, frozen=True):
--- a/src/nettledeal/membership/host.py
+++ b/src/nettledeal/membership/host.py
@@ -59,9 +59,9 @@
         log: Any,
         max_streams: int = MAX_MEMBERSHIP_STREAMS,
     ):
-        """`notify` receives `MemberChanged`, `OrderReceived` and `NameConflict`. `count` receives the name of
-        a counter to increase. `log` is a logger with levels that takes an event and its fields, like
-        structlog's. `max_streams` limits the open streams, incoming and outgoing ones each."""
+        """`notify` receives `MemberChanged`, `OrderReceived`, `NameConflict` and `Joined`. `count` receives
+        the name of a counter to increase. `log` is a logger with levels that takes an event and its fields,
+        like structlog's. `max_streams` limits the open streams, incoming and outgoing ones each."""
         self.member, self.listen, self.clock, self.notify, self.count = member, listen, clock, notify, count
         self.log, self.max_streams = log, max_streams
         self.datagram_socket: socket.socket | None = None
--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -5,9 +5,9 @@
 from math import log
 from zlib import crc32
 
-from nettledeal.membership.actions import SECOND, StreamRequest
+from nettledeal.membership.actions import SECOND, Joined, StreamRequest
 from nettledeal.membership.member_base import MemberBase
-from nettledeal.membership.packets import COMPARE, SYNC_REQUEST, Packet
+from nettledeal.membership.packets import COMPARE, SAME, SYNC_REQUEST, SYNC_RESPONSE, Packet
 from nettledeal.membership.view import MemberRecord, State
 from nettledeal.net.address import Address
 
@@ -22,10 +22,14 @@
     """Full view exchanges over streams."""
 
     def _join(self) -> None:
-        """Contact seeds with exponential backoff until another member is known."""
-        self.joining = not self.ring and bool(self.seeds)
+        """Contact seeds with exponential backoff until another member is known, and then that one until views
+        were exchanged: the answer of a seed that passed this member's record on may have been lost."""
+        self.joining = bool(self.seeds) and not (self.ring and self.joined)
         if self.joining:
-            self._sync_with_seeds()
+            if self.ring:
+                self._sync_with_random(self.ring)
+            else:
+                self._sync_with_seeds()
             self._schedule(self.now + self._jittered(self.join_backoff), "join")
             self.join_backoff = min(MAX_JOIN_BACKOFF_TENTHS, 2 * self.join_backoff)
 
@@ -112,6 +116,17 @@
         )
         return crc32(repr(known).encode())
 
+    def _views_exchanged(self) -> None:
+        if not self.joined:
+            self.joined = True
+            self.actions.append(Joined())
+
+    def _answer_comparison(self, packet: Packet) -> Packet:
+        if packet.sequence_number != self._view_digest():
+            return self._make_full_view_packet(SYNC_RESPONSE, packet.sequence_number)
+        self._views_exchanged()
+        return self._make_packet(SAME, packet.sequence_number)
+
     def _finish_comparison(self, request: StreamRequest) -> None:
         """The answer to a digest comparison was a full view, and has been merged. The other member still
         lacks what is known only here, so the exchange is completed."""
--- a/src/nettledeal/membership/member.py
+++ b/src/nettledeal/membership/member.py
@@ -76,15 +76,10 @@
         answer = None
         if self._apply_packet(packet, packet.sender.address):
             if packet.kind == SYNC_REQUEST:
-                self.joined = True
+                self._views_exchanged()
                 answer = self._make_full_view_packet(SYNC_RESPONSE, packet.sequence_number)
             elif packet.kind == COMPARE:
-                same = packet.sequence_number == self._view_digest()
-                answer = (
-                    self._make_packet(SAME, packet.sequence_number)
-                    if same
-                    else self._make_full_view_packet(SYNC_RESPONSE, packet.sequence_number)
-                )
+                answer = self._answer_comparison(packet)
             elif packet.kind == PING and self._is_own_name(packet.target):
                 answer = self._make_packet(ACK, packet.sequence_number)
         return answer, self._finish_step()
@@ -99,8 +94,10 @@
             self.last_heard_at = self.now
         if packet is not None and self._apply_packet(packet, request.address):
             if packet.kind == SYNC_RESPONSE:
-                self.joined = True
+                self._views_exchanged()
                 self._finish_comparison(request)
+            elif packet.kind == SAME:
+                self._views_exchanged()
             elif packet.kind == ACK:
                 self._on_ack(packet)
         return self._finish_step()
--- a/src/nettledeal/membership/node.py
+++ b/src/nettledeal/membership/node.py
@@ -14,7 +14,7 @@
 from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
-from nettledeal.membership.actions import Action, MemberChanged, Timing
+from nettledeal.membership.actions import Action, Joined, MemberChanged, Timing
 from nettledeal.membership.cbor_codec import CborCodec
 from nettledeal.membership.host import Host
 from nettledeal.membership.member import Member
@@ -105,7 +105,8 @@
         self._ready = Event()
         self._stopped = False
         self._clock = SteadyClock()
-        # Called when the view has changed, or what follows from it: evidence of deaths expires.
+        # Called when the view has changed, or what follows from it: evidence of deaths expires, the group is
+        # known.
         self.on_change: list[Callable[[], None]] = []
         self._members: list[MemberInfo] | None = None
         address = settings.internal_address(_PORTS[role])
@@ -222,8 +223,12 @@
         self._on_view_changed()
 
     def _on_action(self, action: Action) -> None:
-        if not isinstance(action, MemberChanged):
-            return
+        if isinstance(action, Joined):
+            self._on_view_changed()
+        elif isinstance(action, MemberChanged):
+            self._on_member_changed(action)
+
+    def _on_member_changed(self, action: MemberChanged) -> None:
         if action.previous_state is None and action.record.live and is_directory(action.record):
             # A directory member that has just joined may have received an outdated record of this one.
             self._host.announce_to([Address(*action.record.address)])
--- a/src/nettledeal_simulations/membership.py
+++ b/src/nettledeal_simulations/membership.py
@@ -20,6 +20,7 @@
     SECOND,
     MemberChanged,
     NameConflict,
+    OrderReceived,
     SendDatagram,
     Step,
     StreamRequest,
@@ -193,7 +194,7 @@
                 self.changes.append((self.now, node.number, action))
             elif isinstance(action, NameConflict):
                 self.name_conflicts.append((self.now, node.number))
-            else:
+            elif isinstance(action, OrderReceived):
                 self.orders.append((self.now, node.number, action.order))
         wake_at = step.wake_at - node.clock_offset
         # Only an earlier timer is scheduled; a later one that is already in the heap does no harm.
--- a/tests/system/test_membership_node.py
+++ b/tests/system/test_membership_node.py
@@ -14,8 +14,16 @@
 from nettledeal.membership.actions import SECOND
 from nettledeal.membership.cbor_codec import CborCodec
 from nettledeal.membership.member_info import Role
-from nettledeal.membership.node import LOST_MEMBER_COUNTED_S, MembershipNode
-from nettledeal.membership.packets import MAX_DATAGRAM_BYTES, PING, VERSION, Packet, PacketError
+from nettledeal.membership.node import ASSUMED_BEFORE_JOINING, LOST_MEMBER_COUNTED_S, MembershipNode
+from nettledeal.membership.packets import (
+    MAX_DATAGRAM_BYTES,
+    PING,
+    SAME,
+    SYNC_RESPONSE,
+    VERSION,
+    Packet,
+    PacketError,
+)
 from nettledeal.membership.view import MemberRecord, Metadata, State
 
 ZONES = {"z1": "r1", "z2": "r1"}
@@ -130,6 +138,29 @@
     wait_until([observer], lambda node: suspected[-1] == frozenset())
 
 
+def test_a_process_whose_first_answers_are_lost_tells_of_the_group_once_it_has_joined(fleet, monkeypatch):
+    # Guards against a process that goes on assuming a large group until some other member happens to change.
+    others, late = fleet[:3], fleet[3]
+    lost, receive, counted = [], late._host._receive_packet, []
+
+    def lose_first(sock, source):
+        packet = receive(sock, source)
+        if packet is None or packet.kind not in (SYNC_RESPONSE, SAME) or len(lost) >= 3:
+            return packet
+        return lost.append(packet)
+
+    monkeypatch.setattr(late._host, "_receive_packet", lose_first)
+    for node in others:
+        node.start()
+    wait_until(others, lambda node: len(node.members()) == 3)
+    late.on_change.append(lambda: counted.append(late.data_plane_count()))
+    late.start()
+    wait_until([late], lambda node: len(node.members()) == 4)
+    assert counted[-1] == ASSUMED_BEFORE_JOINING
+    wait_until([late], lambda node: counted[-1] == 2)
+    assert lost
+
+
 def _member_named(node, name):
     return next(member for member in node.members() if member.name == name)
 
--- a/tests/system/test_membership_seeds.py
+++ b/tests/system/test_membership_seeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from nettledeal.membership.actions import SECOND, StreamRequest
 from nettledeal.membership.member import Member
 from nettledeal.membership.node import PERIODS_PER_HEARTBEAT
 from tests.system.simulated_members import CORES, HEARTBEAT_MS, Group
@@ -14,6 +15,7 @@
 FIRST_EXCHANGE_S = 1.5 * 10 * HEARTBEAT_MS / 1000 / PERIODS_PER_HEARTBEAT
 LATE = 3 * 256
 LATE_ADDRESS = ("10.1.3.0", 7723)
+NEW_ADDRESS = (f"10.1.0.{MEMBERS}", 7723)
 
 
 def stop(group: Group, number: int) -> None:
@@ -101,6 +103,31 @@
     assert [seed for seed in range(10) if not knows_all_after(seed, CATCH_UP_S, without_seeds=True)] == []
 
 
+def answers_lost(group: Group, address: tuple[str, int], until: int) -> None:
+    """Lose the answers to a member's stream requests until that time."""
+    answer = group._answer
+
+    def lose(target: tuple[str, int], request: StreamRequest, raw: bytes | None) -> None:
+        answer(target, request, None if target == address and group.now < until else raw)
+
+    group._answer = lose
+
+
+def test_a_member_whose_first_answers_are_lost_has_joined_soon_after_that():
+    # Guards against a member that knows all but counts as not joined: it assumes a large group, and its part
+    # of budgets and connections stays small.
+    late = []
+    for seed in range(12):
+        group = Group(MEMBERS - CORES, seed)
+        group.run(20)
+        lost_until = group.now + round(6.0 * SECOND)
+        answers_lost(group, NEW_ADDRESS, lost_until)
+        member = group.members[group.add(MEMBERS)]
+        group.run(6.0 + CATCH_UP_S)
+        late += [seed] * (not member.joined)
+    assert late == []
+
+
 def test_a_member_that_was_alone_exchanges_views_as_soon_after_its_start_as_any_other():
     # Guards against a pause between exchanges that grows while there is nobody to exchange with: the seeds
     # are those of which the new member met the late one before that had met the rest.
