--- a/src/nettledeal/standins/soak.py
+++ b/src/nettledeal/standins/soak.py
@@ -25,8 +25,11 @@
 from nettledeal.standins.layout import Network
 from nettledeal.standins.processes import wait_until
 from nettledeal.standins.scenario import BRIEF, CARD, QUESTION
+from nettledeal.standins.soak_actions import Event, MachineActions
 from nettledeal.standins.soak_clients import KeptClient, LostAnswer
-from nettledeal.standins.soak_events import SoakEvents
+from nettledeal.standins.soak_core_events import CoreEvents
+from nettledeal.standins.soak_observer import SoakObserver
+from nettledeal.standins.soak_overlapping_events import OverlappingEvents
 from nettledeal.standins.soak_system import SoakSystem
 
 KINDS = (BRIEF, QUESTION, CARD)
@@ -72,7 +75,10 @@
         self.random = Random(f"{seed} soak")
         self.report = SoakReport(seed)
         self.system = SoakSystem(folder, Network.of_this_process(network), edges, relays, BOUNDS)
-        self.events = SoakEvents(self.system, self.random, RECOVER_WITHIN_S)
+        actions = MachineActions(self.random, RECOVER_WITHIN_S)
+        self.observer = SoakObserver(self.system, self.random, RECOVER_WITHIN_S)
+        self.core_events = CoreEvents(self.system, self.random, actions, self.observer)
+        self.other_events = OverlappingEvents(self.system, self.random, actions, self.observer)
         self.clients = [
             KeptClient(machine, parse_address(machine.settings.listen.frontend), kind, self._fork())
             for machine in self.system.edges
@@ -99,23 +105,25 @@
 
     def _bring_up(self) -> None:
         self.system.start()
-        self.events.put_configuration()
+        self.other_events.put_configuration()
         for machine in self.system.edges:
             machine.process.wait_for("dataplane:ready", START_WITHIN_S, lambda event: event["ready"] is True)
-        self.events.wait_settled()
+        self.observer.wait_settled()
 
     # Events
 
     def _run_events(self, until: float) -> None:
-        streams = [gevent.spawn(self._run_stream, until, self.events.core_events, self.events.wait_settled)]
+        streams = [
+            gevent.spawn(self._run_stream, until, self.core_events.choices, self.observer.wait_settled)
+        ]
         streams += [
-            gevent.spawn(self._run_stream, until, self.events.other_events, lambda: None)
+            gevent.spawn(self._run_stream, until, self.other_events.choices, lambda: None)
             for _ in range(OTHER_STREAMS)
         ]
         gevent.joinall(streams)
 
     def _run_stream(
-        self, until: float, choices: Callable[[], list[Callable[[], None]]], settle: Callable[[], None]
+        self, until: float, choices: Callable[[], list[Event]], settle: Callable[[], None]
     ) -> None:
         """Run one event after the other; one that fails is reported, and ends the stream."""
         while time.monotonic() < until and not self.report.broken:
@@ -131,7 +139,7 @@
     # Checks
 
     def _check_recovered(self) -> None:
-        self._await("all core machines are in sync", lambda: not self.events.unsettled_cores())
+        self._await("all core machines are in sync", lambda: not self.observer.unsettled_cores())
         self._await("every core machine knows all members", self._members_are_known)
         self._await("the configuration is read back everywhere", self._configuration_is_served)
         self._await("every edge machine serves", self._edges_serve)
@@ -144,7 +152,7 @@
 
     def _members_are_known(self) -> bool:
         expected = sorted(machine.member_name for machine in self.system.machines)
-        reports = [self.events.status(machine) for machine in self.system.cores]
+        reports = [self.observer.status(machine) for machine in self.system.cores]
         return all(
             report is not None and sorted(member.name for member in report.members) == expected
             for report in reports
@@ -153,7 +161,7 @@
     def _configuration_is_served(self) -> bool:
         try:
             return all(
-                OperatorClient([address], 2.0).get_configuration().body == self.events.configuration
+                OperatorClient([address], 2.0).get_configuration().body == self.other_events.configuration
                 for address in self.system.control_addresses
             )
         except ServingError:
--- /dev/null
+++ b/src/nettledeal/standins/soak_overlapping_events.py
@@ -0,0 +1,111 @@
+"""The events of a soak that take no core machine away, and may overlap: signals, restarts and changes."""
+
+from __future__ import annotations
+
+from random import Random
+
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from nettledeal.common.errors import ErrorCode, ServingError
+from nettledeal.standins.layout import Zone
+from nettledeal.standins.scenario import make_configuration
+from nettledeal.standins.soak_actions import Event, MachineActions
+from nettledeal.standins.soak_observer import SoakObserver
+from nettledeal.standins.soak_system import Machine, SoakSystem
+
+
+class OverlappingEvents:
+    """Events of edge machines, relays, seeds and the operator."""
+
+    def __init__(self, system: SoakSystem, random: Random, actions: MachineActions, observer: SoakObserver):
+        self.configuration = b""  # the newest acknowledged
+        self._system, self._random = system, random
+        self._actions, self._observer = actions, observer
+        self._generation = 0
+        self._putting = BoundedSemaphore()
+
+    def choices(self) -> list[Event]:
+        """The events that take no core machine away."""
+        return [
+            self.stop_edge,
+            self.stop_edge,
+            self.kill_edge,
+            self.freeze_edge,
+            self.stop_relays,
+            self.kill_relays,
+            self.hang_up,
+            self.exchange_seeds,
+            self.exchange_seeds,
+            self.lose_seeds,
+            self.put_configuration,
+            self.put_configuration,
+            self.evacuate,
+        ]
+
+    def stop_edge(self) -> None:
+        """Stop an edge machine in order and start it again."""
+        self._actions.act_on_some(self._system.edges, 1, self._actions.restart_stopped)
+
+    def kill_edge(self) -> None:
+        """Kill an edge machine and start it again."""
+        self._actions.act_on_some(self._system.edges, 1, self._actions.restart_killed)
+
+    def freeze_edge(self) -> None:
+        """Suspend an edge machine for some time."""
+        self._actions.act_on_some(self._system.edges, 1, self._actions.freeze)
+
+    def stop_relays(self) -> None:
+        """Stop one relay or all in order, and start them together."""
+        relays = self._system.relays
+        self._actions.act_on_some(relays, self._any_number(relays), self._actions.restart_stopped)
+
+    def kill_relays(self) -> None:
+        """Kill one relay or all, and start them together."""
+        relays = self._system.relays
+        self._actions.act_on_some(relays, self._any_number(relays), self._actions.restart_killed)
+
+    def hang_up(self) -> None:
+        """Send SIGHUP to some processes, several times."""
+        for _ in range(3):
+            for machine in self._random.sample(
+                self._system.machines, self._any_number(self._system.machines)
+            ):
+                self._actions.hang_up(machine)
+            gevent.sleep(0.05)
+
+    def exchange_seeds(self) -> None:
+        """Name relays, or one core machine and gone ones, as seeds; some processes are told by SIGHUP."""
+        relays = [machine.settings.ip for machine in self._system.relays]
+        core = self._random.choice(self._system.cores).settings.ip
+        cores = [machine.settings.ip for machine in self._system.cores]
+        seeds = self._random.choice((relays, [core, *self._system.gone_hosts(2)], cores, relays[:1]))
+        self._system.name_seeds(seeds)
+        if self._random.random() < 0.5:
+            self.hang_up()
+
+    def lose_seeds(self) -> None:
+        """For a while all seeds that the settings name are gone."""
+        self._system.name_seeds(self._system.gone_hosts(3))
+        gevent.sleep(1.0 + 3.0 * self._random.random())
+        self.exchange_seeds()
+
+    def put_configuration(self) -> None:
+        """Put the next configuration, once the one before is acknowledged."""
+        with self._putting:
+            generation = self._generation + 1
+            body = make_configuration(generation, with_extra_route=bool(generation % 2))
+            answer = self._observer.operator().put_configuration(body, self._generation)
+            if answer.status != 200:
+                raise ServingError(ErrorCode.UNAVAILABLE, "put configuration", f"status {answer.status}")
+            self.configuration, self._generation = body, generation
+
+    def evacuate(self) -> None:
+        """Evacuate a zone and restore it."""
+        zone = str(self._random.choice(list(Zone)))
+        self._observer.operator().set_evacuation(zone, True)
+        gevent.sleep(self._random.random())
+        self._observer.operator().set_evacuation(zone, False)
+
+    def _any_number(self, machines: list[Machine]) -> int:
+        return self._random.choice((1, len(machines)))
--- a/src/nettledeal/standins/soak_system.py
+++ b/src/nettledeal/standins/soak_system.py
@@ -17,6 +17,7 @@
 from nettledeal.standins.scenario import make_backends
 
 STOP_TIMEOUT_S = 15.0
+UNREACHABLE_HOST = 250
 BACKEND_SPEED = EngineSpeed(plain_answer_s=0.02, event_interval_s=0.01)
 
 
@@ -141,6 +142,10 @@
         for machine in self.machines:
             machine.write_settings()
 
+    def gone_hosts(self, count: int) -> list[str]:
+        """Hosts at which there never is a machine."""
+        return [self.layout.network.host(UNREACHABLE_HOST + number) for number in range(count)]
+
     def seeds_lead_somewhere(self) -> bool:
         """Whether a seed of the settings files is a machine that is to run."""
         hosts = {address.host for address in self.control_addresses}
