Soak: an operator and probes that judge every part of the configuration, edge by edge

Cause: the soak asked no edge machine which configuration it goes by. An edge that left out every third change and one that went back for 0.5 s were called sound. Change: each configuration adds, drops and exchanges routes, so that an answer tells versions apart. Probes go straight to each edge on a kept connection; ConfigurationRules judges them against what was acknowledged and refused: in force in time, never older again, added routes served, dropped ones 404, exchanged services, nothing refused or invalid in force, reads never older and as sent. The operator sends again after lost answers, races two changes, sends eight kinds of invalid ones and reads. A run ends with the loss of one disk while all other machines lose power, after a change that was just acknowledged or is under way, and with changes in calm. Data planes log which generation they go by since when, and each request's where settings ask for it; core machines log orders and what they publish.

--- a/src/nettledeal/common/settings.py
+++ b/src/nettledeal/common/settings.py
@@ -122,6 +122,8 @@
     cloud: Cloud | None = None
     # A file with the private key of this process's region, for the keys of tenants.
     tenant_region_key: str | None = None
+    # Whether a data plane logs for each request which configuration it was routed by.
+    log_requests: bool = False
 
     @property
     def keeps_control_state(self) -> bool:
--- a/src/nettledeal/dataplane/agent.py
+++ b/src/nettledeal/dataplane/agent.py
@@ -15,6 +15,7 @@
 from nettledeal.common.logs import log_event
 from nettledeal.common.settings import Settings
 from nettledeal.dataplane.backend_connections import BackendConnections
+from nettledeal.dataplane.configuration_in_force import ConfigurationInForce
 from nettledeal.dataplane.draining import Drain
 from nettledeal.dataplane.forwarding import Forwarding
 from nettledeal.dataplane.ingress import Ingress
@@ -61,7 +62,8 @@
         self.selector.placement.has_idle_connection = self._has_idle_connection
         self.forwarding = Forwarding(self.selector, self.budget, self.connections, self.random)
         max_clients = int((settings.limits.max_fds - RESERVED_FDS) * CLIENT_FDS_SHARE)
-        self.ingress = Ingress(self.forwarding, self.memory_pool, max(16, max_clients))
+        self.configuration = ConfigurationInForce(settings.log_requests)
+        self.ingress = Ingress(self.forwarding, self.memory_pool, max(16, max_clients), self.configuration)
         self.readiness = ReadinessServer(lambda: self.ready, self.tenants_page)
         self.control_version: object = None
         self.catalogue_version: object = None
@@ -109,6 +111,7 @@
         if TENANCY_KEY in entries or self.forwarding.tenants is not None:
             self._update_tenants(entries)
         self.ingress.use_table(table)
+        self.configuration.change(version, entries, table)
         self._publish_ready_change(was_ready)
 
     def _update_tenants(self, entries: Mapping[str, bytes]) -> None:
--- a/src/nettledeal/dataplane/ingress.py
+++ b/src/nettledeal/dataplane/ingress.py
@@ -16,6 +16,7 @@
 from gevent.event import Event
 
 from nettledeal.dataplane.client_request import MAX_DEADLINE_S, ClientRequest
+from nettledeal.dataplane.configuration_in_force import ConfigurationInForce
 from nettledeal.dataplane.forwarding import Forwarding
 from nettledeal.dataplane.response_heads import agent_response
 from nettledeal.dataplane.response_relay import ClientDisconnected
@@ -62,8 +63,15 @@
 class Ingress:
     """The client listener and its accepted connections."""
 
-    def __init__(self, forwarding: Forwarding, memory_pool: MemoryPool, max_connections: int):
+    def __init__(
+        self,
+        forwarding: Forwarding,
+        memory_pool: MemoryPool,
+        max_connections: int,
+        configuration: ConfigurationInForce | None = None,
+    ):
         self.forwarding = forwarding
+        self.configuration = configuration or ConfigurationInForce()
         self.memory_pool = memory_pool
         self.max_connections = max_connections
         self.table = RoutingTable()
@@ -295,6 +303,8 @@
             self._refuse_until_ready(request)
             return
         target = table.find(request.header(b"host"), request.path)
+        route = None if target is None else target.route.name
+        self.ingress.configuration.log_request(request.request_id, request.path, route)
         if target is None:
             self.send([agent_response(HTTPStatus.NOT_FOUND, request.request_id, None, self.closing)])
         elif not can_serve:
--- a/src/nettledeal/dataplane/routing_table.py
+++ b/src/nettledeal/dataplane/routing_table.py
@@ -23,6 +23,7 @@
 ROUTE_KEYS = (ROUTE_KEY, TENANT_ROUTE_KEY)
 EVACUATION_KEY = "evacuation/"
 LIMITS_KEY = "limits"
+GENERATION_KEY = "generation"
 TENANCY_KEY = "tenancy"
 
 MS_PER_S = 1000.0
--- a/src/nettledeal/distribution/subscriber.py
+++ b/src/nettledeal/distribution/subscriber.py
@@ -157,6 +157,8 @@
             connection.close()
             self._selector.record_failure(address, time.monotonic())
             return None
+        held = {name: source.version for name, source in self.sources.items()}
+        log_event("distribution:subscribed", publisher=str(address), held=held)
         return Stream(address, connection, session)
 
     def _follow(self, stream: Stream) -> None:
--- a/src/nettledeal/operator_api/api.py
+++ b/src/nettledeal/operator_api/api.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from nettledeal.common.errors import ErrorCode, ServingError
+from nettledeal.common.logs import log_event
 from nettledeal.control.state import TENANTS_KEY, ControlState, Outcome, PutConfiguration, SetEvacuation
 from nettledeal.operator_api.configuration import Configuration
 from nettledeal.operator_api.configuration_checks import parse_configuration
@@ -62,9 +63,23 @@
     def handle(self, request: Request) -> Response:
         """The answer to a call, within the time a caller waits for one."""
         try:
-            return self._dispatch(request)
+            response = self._dispatch(request)
         except ServingError as error:
-            return self._failed(request, error)
+            response = self._failed(request, error)
+        if request.method is not HTTPMethod.GET and response.status != HTTPStatus.TEMPORARY_REDIRECT:
+            self._log_order(request, response)
+        return response
+
+    def _log_order(self, request: Request, response: Response) -> None:
+        log_event(
+            "operator_api:order",
+            method=str(request.method),
+            path=request.path,
+            if_match=request.if_match,
+            digest=order_digest(request.body).hex(),
+            status=int(response.status),
+            generation=self._node.state.generation,
+        )
 
     def _dispatch(self, request: Request) -> Response:
         if request.path == STATUS_PATH and request.method is HTTPMethod.GET:
--- a/src/nettledeal/programs/control_plane.py
+++ b/src/nettledeal/programs/control_plane.py
@@ -11,6 +11,7 @@
 
 from nettledeal.common.addresses import Address, InternalPort
 from nettledeal.common.errors import ServingError
+from nettledeal.common.logs import log_event
 from nettledeal.common.seeds import SeedList
 from nettledeal.common.settings import Settings
 from nettledeal.control.messages import EpochRecord
@@ -76,6 +77,7 @@
         )
         self._shares = ShareLoop(self.node, self.membership)
         self._confirming: gevent.Greenlet | None = None
+        self._published_generation = 0
 
     def start(self) -> None:
         """Serve. Raises ServingError if the data directory can't be used, OSError if an address is taken."""
@@ -108,6 +110,9 @@
         entries = control_entries(state.entries)
         if self.control.publish((state.sequence,), entries):
             self.publisher.notify()
+        if state.generation != self._published_generation:
+            self._published_generation = state.generation
+            log_event("control:configuration", generation=state.generation, version=state.sequence)
         if self.registry is not None:
             self.registry.configure(entries)
 
--- a/src/nettledeal/standins/processes.py
+++ b/src/nettledeal/standins/processes.py
@@ -21,6 +21,8 @@
 PROGRAM = ROOT / "src" / "nettledeal_system.py"
 POLL_INTERVAL_S = 0.05
 MAX_LOG_LINES = 2000
+# Logged for single requests: these only go to the file.
+REQUEST_EVENT = b'"dataplane:request"'
 
 LogEvent = Mapping[str, object]
 
@@ -35,13 +37,17 @@
 
 
 class SystemProcess:
-    """One process of a role; signals go to its process id only."""
+    """One process of a role; signals go to its process id only.
+
+    `log_path` has the whole log of all its lives, `events` the last lines of the present one.
+    """
 
     def __init__(self, name: str, role: str, settings_path: Path):
         self.name = name
         self.role = role
         self.settings_path = settings_path
         self.program = PROGRAM
+        self.log_path = settings_path.with_suffix(".log")
         self.events: list[LogEvent] = []
         self.other_lines: list[str] = []
         self._process: subprocess.Popen | None = None
@@ -118,8 +124,11 @@
             return None
 
     def _read_log(self, log) -> None:
-        with log:
+        with log, self.log_path.open("ab") as file:
             for line in log:
+                file.write(line)
+                if REQUEST_EVENT in line:
+                    continue
                 self._add_line(line.decode(errors="replace").rstrip())
         self._log_changed.set()
 
--- a/src/nettledeal/standins/scenario.py
+++ b/src/nettledeal/standins/scenario.py
@@ -57,6 +57,15 @@
     ]
 
 
+def make_web_backends(
+    layout: Layout, service: str, speed: EngineSpeed, first_number: int
+) -> list[StandInBackend]:
+    """The backends of another service like the web service, numbered from `first_number` on."""
+    return [
+        _backend(layout, first_number + number, service, zone, speed) for number, zone in enumerate(WEB_ZONES)
+    ]
+
+
 def _backend(layout: Layout, number: int, service: str, zone: Zone, speed: EngineSpeed) -> StandInBackend:
     is_model = service == MODEL_SERVICE
     address = layout.backend_address(number)
--- a/src/nettledeal/standins/soak.py
+++ b/src/nettledeal/standins/soak.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import shutil
 import sys
 import tempfile
 import time
@@ -15,22 +16,23 @@
 from random import Random
 
 import gevent
-import msgspec
 
 from nettledeal.common.addresses import parse_address
 from nettledeal.common.errors import ServingError
 from nettledeal.common.settings import Bounds
-from nettledeal.operator_api.client import OperatorClient
 from nettledeal.standins.checks import broken_rules
+from nettledeal.standins.configuration_probes import ConfigurationProber, probe_kind
+from nettledeal.standins.configuration_rules import ConfigurationRules, Contact, ReadBack
 from nettledeal.standins.layout import Network
-from nettledeal.standins.processes import wait_until
+from nettledeal.standins.processes import PROGRAM, wait_until
 from nettledeal.standins.scenario import BRIEF, CARD, QUESTION
 from nettledeal.standins.soak_actions import Event, MachineActions
 from nettledeal.standins.soak_clients import KeptClient, LostAnswer
 from nettledeal.standins.soak_core_events import CoreEvents
 from nettledeal.standins.soak_observer import SoakObserver
+from nettledeal.standins.soak_operator import SoakOperator
 from nettledeal.standins.soak_overlapping_events import OverlappingEvents
-from nettledeal.standins.soak_system import SoakSystem
+from nettledeal.standins.soak_system import Machine, SoakSystem
 
 KINDS = (BRIEF, QUESTION, CARD)
 BOUNDS = Bounds(grace_s=8.0)
@@ -41,6 +43,12 @@
 OTHER_STREAMS = 2
 # A request that was not passed on may be lost if the connection ends this soon after it was sent.
 LOSS_SLACK_S = 1.0
+READ_PAUSE_S = 0.2
+CALM_CHANGES = 4
+CALM_CHANGE_MARGIN_S = 0.8
+# Now and then nothing new happens for so long that edge machines are in touch and have to be up to date.
+LONG_PAUSE_SHARE = 0.3
+LONG_PAUSE_S = (BOUNDS.contact_ms + BOUNDS.config_apply_ms) / 1000
 
 
 @dataclass
@@ -51,13 +59,16 @@
     events: list[str] = field(default_factory=list)
     served: int = 0
     lost: int = 0
+    changes: int = 0
+    probes: int = 0
     broken: list[str] = field(default_factory=list)
 
     def line(self) -> str:
         """One line for people."""
         return (
             f"seed {self.seed}: {len(self.events)} events, {self.served} served, "
-            f"{self.lost} without an answer: {self.broken or 'nothing broken'}"
+            f"{self.lost} without an answer, {self.changes} changes, {self.probes} probes: "
+            f"{self.broken or 'nothing broken'}"
         )
 
 
@@ -71,29 +82,42 @@
         edges: int = 3,
         relays: int = 3,
         network: int = 0,
+        program: Path = PROGRAM,
     ):
         self.random = Random(f"{seed} soak")
         self.report = SoakReport(seed)
-        self.system = SoakSystem(folder, Network.of_this_process(network), edges, relays, BOUNDS)
+        self._started_s = time.monotonic()
+        self.system = SoakSystem(folder, Network.of_this_process(network), edges, relays, BOUNDS, program)
         actions = MachineActions(self.random, RECOVER_WITHIN_S)
         self.observer = SoakObserver(self.system, self.random, RECOVER_WITHIN_S)
-        self.core_events = CoreEvents(self.system, self.random, actions, self.observer)
-        self.other_events = OverlappingEvents(self.system, self.random, actions, self.observer)
+        self.operator = SoakOperator(lambda: self.system.control_addresses, self._fork())
+        parts = (self.system, self.random, actions, self.observer, self.operator)
+        self.core_events = CoreEvents(*parts)
+        self.other_events = OverlappingEvents(*parts)
         self.clients = [
             KeptClient(machine, parse_address(machine.settings.listen.frontend), kind, self._fork())
             for machine in self.system.edges
             for kind in KINDS
         ]
+        self.probers = [
+            ConfigurationProber(machine, self.operator.prefixes, self._contact, self._fork())
+            for machine in self.system.edges
+        ]
 
     def run(self, length_s: float) -> SoakReport:
-        """Run events for this long, let the system recover, and check it."""
+        """Run events for this long and let the system recover; change configurations in calm; check all."""
         try:
             self._bring_up()
-            greenlets = [gevent.spawn(client.run) for client in self.clients]
-            self._run_events(time.monotonic() + length_s)
-            self._check_recovered()
+            greenlets = [gevent.spawn(sender.run) for sender in (*self.clients, *self.probers)]
+            if length_s > 0:
+                self._run_events(time.monotonic() + length_s)
+                self._run_event(self.core_events.lose_disk_and_power)
+                self._check_recovered()
+            self._run_calm_changes()
+            self._read_back()
             gevent.killall(greenlets)
             self._check_requests()
+            self._check_configuration()
         except ServingError as error:
             self.report.broken.append(str(error))
         finally:
@@ -105,7 +129,7 @@
 
     def _bring_up(self) -> None:
         self.system.start()
-        self.other_events.put_configuration()
+        self.operator.put()
         for machine in self.system.edges:
             machine.process.wait_for("dataplane:ready", START_WITHIN_S, lambda event: event["ready"] is True)
         self.observer.wait_settled()
@@ -116,10 +140,8 @@
         streams = [
             gevent.spawn(self._run_stream, until, self.core_events.choices, self.observer.wait_settled)
         ]
-        streams += [
-            gevent.spawn(self._run_stream, until, self.other_events.choices, lambda: None)
-            for _ in range(OTHER_STREAMS)
-        ]
+        choices = [self.other_events.choices] * OTHER_STREAMS + [self.other_events.configuration_choices]
+        streams += [gevent.spawn(self._run_stream, until, chosen, lambda: None) for chosen in choices]
         gevent.joinall(streams)
 
     def _run_stream(
@@ -127,14 +149,27 @@
     ) -> None:
         """Run one event after the other; one that fails is reported, and ends the stream."""
         while time.monotonic() < until and not self.report.broken:
-            event = self.random.choice(choices())
-            self.report.events.append(event.__name__)
-            try:
-                event()
-                settle()
-            except ServingError as error:
-                self.report.broken.append(f"{event.__name__}: {error}")
-            gevent.sleep(MAX_PAUSE_S * self.random.random())
+            self._run_event(self.random.choice(choices()), settle)
+            is_long = self.random.random() < LONG_PAUSE_SHARE
+            gevent.sleep((LONG_PAUSE_S if is_long else MAX_PAUSE_S) * self.random.random())
+
+    def _run_calm_changes(self) -> None:
+        """Put configurations one by one while all machines are in touch, each with time to get in force."""
+        gevent.sleep(2 * BOUNDS.contact_ms / 1000)
+        for _ in range(CALM_CHANGES):
+            self._run_event(self.operator.put)
+            gevent.sleep(BOUNDS.config_apply_ms / 1000 + CALM_CHANGE_MARGIN_S)
+
+    def _run_event(self, event: Event, settle: Callable[[], None] = lambda: None) -> None:
+        if self.report.broken:
+            return
+        started_s = time.monotonic() - self._started_s
+        self.report.events.append(f"{started_s:.2f} {event.__name__}")
+        try:
+            event()
+            settle()
+        except ServingError as error:
+            self.report.broken.append(f"{event.__name__}: {error}")
 
     # Checks
 
@@ -159,13 +194,10 @@
         )
 
     def _configuration_is_served(self) -> bool:
-        try:
-            return all(
-                OperatorClient([address], 2.0).get_configuration().body == self.other_events.configuration
-                for address in self.system.control_addresses
-            )
-        except ServingError:
-            return False
+        newest = self.operator.newest
+        return newest is not None and all(
+            self.operator.read_at(address) == newest.body for address in self.system.control_addresses
+        )
 
     def _edges_serve(self) -> bool:
         before = {client: client.served for client in self.clients}
@@ -179,7 +211,28 @@
         run = {run.request_id for backend in self.system.backends for run in backend.runs}
         self.report.broken += [_describe(answer) for answer in lost if _is_broken(answer, run)]
         self.report.broken += [text for client in self.clients for text in client.wrong]
-        self.report.broken += broken_rules([], self.clients, self.system.backends, KINDS)
+        senders = [*self.clients, *self.probers]
+        probe_kinds = [probe_kind(prefix) for prefix in self.operator.all_prefixes()]
+        self.report.broken += broken_rules([], senders, self.system.backends, [*KINDS, *probe_kinds])
+
+    def _contact(self, machine: Machine, since: float) -> Contact:
+        return self.system.contact.contact(machine.trouble, since)
+
+    def _read_back(self) -> None:
+        """Read the configuration as an operator does at the end of a day."""
+        until = time.monotonic() + BOUNDS.contact_ms / 1000
+        reads_before = len(self.operator.reads)
+        while time.monotonic() < until:
+            self.operator.read()
+            gevent.sleep(READ_PAUSE_S)
+        if len(self.operator.reads) == reads_before:
+            self.operator.reads.append(ReadBack(until, None))
+
+    def _check_configuration(self) -> None:
+        probes = [probe for prober in self.probers for probe in prober.probes]
+        self.report.changes, self.report.probes = len(self.operator.changes), len(probes)
+        rules = ConfigurationRules(BOUNDS, self.operator.changes)
+        self.report.broken += [*self.operator.broken, *rules.broken(probes, self.operator.reads)]
 
 
 def _is_broken(answer: LostAnswer, run: set[str]) -> bool:
@@ -199,16 +252,17 @@
     parser.add_argument("--length", type=float, default=20.0, help="seconds of events")
     parser.add_argument("--edges", type=int, default=3)
     parser.add_argument("--relays", type=int, default=3)
+    parser.add_argument("--program", type=Path, default=PROGRAM, help="of another release, to compare with")
     parser.add_argument("--keep", type=Path, help="write the logs of a broken run to this folder")
     parsed = parser.parse_args()
     broken = 0
     for seed in range(parsed.first, parsed.first + parsed.seeds):
         with tempfile.TemporaryDirectory(prefix="nettledeal-soak-") as folder:
-            soak = Soak(seed, Path(folder), parsed.edges, parsed.relays)
+            soak = Soak(seed, Path(folder), parsed.edges, parsed.relays, program=parsed.program)
             report = soak.run(parsed.length)
+            if report.broken and parsed.keep is not None:
+                _write_logs(soak, parsed.keep / str(seed))
         print(report.line(), flush=True)
-        if report.broken and parsed.keep is not None:
-            _write_logs(soak, parsed.keep / str(seed))
         broken += bool(report.broken)
     print(f"{parsed.seeds} soaks, {broken} with something broken")
     return int(broken > 0)
@@ -216,11 +270,9 @@
 
 def _write_logs(soak: Soak, folder: Path) -> None:
     folder.mkdir(parents=True, exist_ok=True)
-    (folder / "events").write_text("\n".join(soak.report.events))
-    for machine in soak.system.machines:
-        lines = [msgspec.json.encode(event) for event in machine.process.events]
-        lines += [line.encode() for line in machine.process.other_lines]
-        (folder / machine.process.name).write_bytes(b"\n".join(lines))
+    (folder / "report").write_text("\n".join([*soak.report.broken, *soak.report.events]))
+    for machine in soak.system.all_machines:
+        shutil.copy(machine.process.log_path, folder)
 
 
 if __name__ == "__main__":
--- a/src/nettledeal/standins/soak_actions.py
+++ b/src/nettledeal/standins/soak_actions.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager, suppress
 from random import Random
-from signal import SIGHUP
+from signal import SIGHUP, SIGKILL
 
 import gevent
 
 from nettledeal.common.errors import ErrorCode, ServingError
+from nettledeal.standins.processes import wait_until
 from nettledeal.standins.soak_system import Machine
 
 STOP_WITHIN_S = 12.0
 MAX_FREEZE_S = 3.0
 MAX_DOWN_S = 2.0
+MAX_START_SPREAD_S = 1.0
+# An event on one machine ends within this time.
+RESERVE_WITHIN_S = 40.0
 Event = Callable[[], None]
 
 
@@ -24,6 +28,7 @@
     def __init__(self, random: Random, start_within_s: float):
         self._random, self._start_within_s = random, start_within_s
         self._busy: set[Machine] = set()
+        self._claimed: set[Machine] = set()
 
     def pause(self) -> None:
         """Wait for as long as a machine stays down."""
@@ -31,7 +36,7 @@
 
     def act_on_some(self, machines: list[Machine], count: int, act: Callable[[list[Machine]], None]) -> None:
         """Act on some machines to which nothing else is happening, at most `count`."""
-        free = [machine for machine in machines if machine not in self._busy]
+        free = [machine for machine in machines if machine not in self._busy | self._claimed]
         chosen = self._random.sample(free, min(count, len(free)))
         self._busy.update(chosen)
         try:
@@ -39,34 +44,67 @@
         finally:
             self._busy.difference_update(chosen)
 
+    @contextmanager
+    def reserve(self, machines: Collection[Machine]) -> Iterator[None]:
+        """Wait until nothing is happening to any of them, and let nothing else happen to them meanwhile."""
+        self._claimed.update(machines)
+        try:
+            wait_until(lambda: self._busy.isdisjoint(machines), RESERVE_WITHIN_S, "machines are free")
+            yield
+        finally:
+            self._claimed.difference_update(machines)
+
     def restart_killed(self, machines: list[Machine]) -> None:
         """Kill them all, then start them together."""
+        self.kill(machines)
+        self.pause()
+        self.start(machines)
+
+    def kill(self, machines: Collection[Machine]) -> None:
+        """Kill them all at the same moment."""
         for machine in machines:
+            machine.begin_trouble()
             machine.disruptions += 1
+            machine.process.signal(SIGKILL)
+        for machine in machines:
             machine.process.kill()
-        self.pause()
+
+    def start(self, machines: Collection[Machine]) -> None:
+        """Start machines that were killed or stopped."""
         for machine in machines:
             machine.start()
+            machine.end_trouble()
+
+    def start_apart(self, machines: Collection[Machine]) -> None:
+        """Start machines that were killed or stopped, each a little later."""
+        for machine in self._random.sample(list(machines), len(machines)):
+            gevent.sleep(MAX_START_SPREAD_S * self._random.random() / len(machines))
+            self.start([machine])
 
     def restart_stopped(self, machines: list[Machine]) -> None:
         """Stop them all in order, then start them together."""
         gevent.joinall([gevent.spawn(self.stop, machine) for machine in machines], raise_error=True)
-        for machine in machines:
-            machine.start()
+        self.start(machines)
 
     def freeze(self, machines: list[Machine]) -> None:
         """Suspend them for the same time."""
         for machine in machines:
+            machine.begin_trouble()
             machine.disruptions += 1
             machine.process.freeze()
         gevent.sleep(MAX_FREEZE_S * self._random.random())
         for machine in machines:
             machine.disruptions += 1
             machine.process.thaw()
+            machine.end_trouble()
 
     def stop(self, machine: Machine) -> None:
-        """SIGTERM once the process serves; raises ServingError if it doesn't end with status 0."""
+        """SIGTERM once the process serves, after which it may be started again or be gone for good.
+
+        Raises ServingError if it doesn't end with status 0.
+        """
         machine.process.wait_for("process:started", self._start_within_s)
+        machine.begin_trouble()
         machine.process.terminate()
         status = machine.process.wait(STOP_WITHIN_S)
         if status != 0:
--- a/src/nettledeal/standins/soak_core_events.py
+++ b/src/nettledeal/standins/soak_core_events.py
@@ -3,20 +3,35 @@
 from __future__ import annotations
 
 import shutil
+from collections.abc import Callable
 from random import Random
 
+import gevent
+
 from nettledeal.standins.layout import SEEDS
 from nettledeal.standins.soak_actions import Event, MachineActions
 from nettledeal.standins.soak_observer import SoakObserver
+from nettledeal.standins.soak_operator import SoakOperator
 from nettledeal.standins.soak_system import Machine, SoakSystem, seed_addresses
 
+# When all lose power: this soon after a change was acknowledged, or after it was sent.
+MAX_AFTER_ACKNOWLEDGEMENT_S = 0.02
+MAX_AFTER_SENDING_S = 0.4
+
 
 class CoreEvents:
     """Of the core machines one at a time is lost, or all with their disks kept, as the tolerance allows."""
 
-    def __init__(self, system: SoakSystem, random: Random, actions: MachineActions, observer: SoakObserver):
+    def __init__(
+        self,
+        system: SoakSystem,
+        random: Random,
+        actions: MachineActions,
+        observer: SoakObserver,
+        operator: SoakOperator,
+    ):
         self._system, self._random = system, random
-        self._actions, self._observer = actions, observer
+        self._actions, self._observer, self._operator = actions, observer, operator
 
     def choices(self) -> list[Event]:
         """The events that take a core machine away."""
@@ -32,6 +47,8 @@
             self.add_core_then_stop,
             self.kill_all_cores,
             self.lose_all_power,
+            self.lose_disk_and_power,
+            self.lose_disk_and_power,
         ]
 
     def kill_core(self) -> None:
@@ -40,7 +57,8 @@
 
     def kill_all_cores(self) -> None:
         """Kill all core machines at once; their disks are kept."""
-        self._actions.restart_killed(self._system.cores)
+        with self._system.contact.core_majority.during():
+            self._actions.restart_killed(list(self._system.cores))
 
     def lose_all_power(self) -> None:
         """Kill all processes but those that are being acted on; the core machines come back with their disks
@@ -49,14 +67,54 @@
         for core in cores:
             core.own_seeds = seed_addresses(self._system.gone_hosts(SEEDS))
         others = [*self._system.edges, *self._system.relays]
-        self._actions.act_on_some(
-            others, len(others), lambda free: self._actions.restart_killed([*cores, *free])
-        )
+        with self._system.contact.core_majority.during():
+            self._actions.act_on_some(
+                others, len(others), lambda free: self._actions.restart_killed([*cores, *free])
+            )
         self._observer.wait_settled()
         for core in cores:
             core.own_seeds = []
             core.write_settings()
 
+    def lose_disk_and_power(self) -> None:
+        """A core machine loses its disk at the moment at which all other machines lose power.
+
+        A change has just been acknowledged then, or is under way; another core machine may have lost its
+        disk, or been replaced, as long before as it takes to catch up.
+        """
+        self._random.choice(self._events_before())()
+        gevent.sleep(self._system.layout.bounds.catch_up_s)
+        others = [*self._system.edges, *self._system.relays]
+        with self._actions.reserve(others), self._system.contact.core_majority.during():
+            putting = self._put_until_due()
+            machines = [*self._system.cores, *others]
+            self._actions.kill(machines)
+            shutil.rmtree(self._any_core().settings.data_dir)
+            self._actions.pause()
+            self._actions.start_apart(machines)
+        gevent.joinall([putting], raise_error=True)
+
+    def _events_before(self) -> list[Callable[[], None]]:
+        return [
+            lambda: None,
+            self.kill_core,
+            self.wipe_core,
+            self.wipe_core,
+            self.replace_dead_core,
+            self.replace_stopped_core,
+            self.add_core_then_stop,
+        ]
+
+    def _put_until_due(self) -> gevent.Greenlet:
+        """Put a configuration; returns once the power is to be lost."""
+        putting = gevent.spawn(self._operator.put)
+        if self._random.random() < 0.5:
+            gevent.sleep(MAX_AFTER_SENDING_S * self._random.random())
+        else:
+            putting.join()
+            gevent.sleep(MAX_AFTER_ACKNOWLEDGEMENT_S * self._random.random())
+        return putting
+
     def stop_core(self) -> None:
         """Stop a core machine in order and start it again."""
         self._actions.restart_stopped([self._any_core()])
@@ -68,23 +126,25 @@
     def wipe_core(self) -> None:
         """A core machine loses its disk."""
         core = self._any_core()
-        core.process.kill()
+        self._actions.kill([core])
         shutil.rmtree(core.settings.data_dir)
         self._actions.pause()
-        core.start()
+        self._actions.start([core])
 
     def replace_dead_core(self) -> None:
         """A core machine is gone for good; another comes later."""
         core = self._any_core()
-        core.process.kill()
+        self._actions.kill([core])
         self._actions.pause()
         self._replace(core)
+        core.end_trouble()
 
     def replace_stopped_core(self) -> None:
         """A core machine is stopped for good, then another comes."""
         core = self._any_core()
         self._actions.stop(core)
         self._replace(core)
+        core.end_trouble()
 
     def add_core_then_stop(self) -> None:
         """Another core machine comes, then the earlier one is stopped for good."""
@@ -92,10 +152,13 @@
         successor = self._replace(core)
         self._observer.wait_in_sync(successor)
         self._actions.stop(core)
+        core.end_trouble()
 
     def _replace(self, core: Machine) -> Machine:
         """Start a successor. Seeds that name only machines that are gone for good would lead it to nobody."""
         successor = self._system.add_successor(core)
+        with self._system.contact.core.during():
+            successor.start()
         if not self._system.seeds_lead_somewhere():
             self._system.name_seeds([machine.settings.ip for machine in self._system.relays])
         return successor
--- a/src/nettledeal/standins/soak_overlapping_events.py
+++ b/src/nettledeal/standins/soak_overlapping_events.py
@@ -5,28 +5,30 @@
 from random import Random
 
 import gevent
-from gevent.lock import BoundedSemaphore
 
-from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.standins.layout import Zone
-from nettledeal.standins.scenario import make_configuration
 from nettledeal.standins.soak_actions import Event, MachineActions
 from nettledeal.standins.soak_observer import SoakObserver
+from nettledeal.standins.soak_operator import SoakOperator
 from nettledeal.standins.soak_system import Machine, SoakSystem
 
 
 class OverlappingEvents:
     """Events of edge machines, relays, seeds and the operator."""
 
-    def __init__(self, system: SoakSystem, random: Random, actions: MachineActions, observer: SoakObserver):
-        self.configuration = b""  # the newest acknowledged
+    def __init__(
+        self,
+        system: SoakSystem,
+        random: Random,
+        actions: MachineActions,
+        observer: SoakObserver,
+        operator: SoakOperator,
+    ):
         self._system, self._random = system, random
-        self._actions, self._observer = actions, observer
-        self._generation = 0
-        self._putting = BoundedSemaphore()
+        self._actions, self._observer, self._operator = actions, observer, operator
 
     def choices(self) -> list[Event]:
-        """The events that take no core machine away."""
+        """The events that take no core machine away, without those of the configuration."""
         return [
             self.stop_edge,
             self.stop_edge,
@@ -38,11 +40,23 @@
             self.exchange_seeds,
             self.exchange_seeds,
             self.lose_seeds,
-            self.put_configuration,
-            self.put_configuration,
             self.evacuate,
         ]
 
+    def configuration_choices(self) -> list[Event]:
+        """The changes of the configuration, proper and improper ones, and reads of it."""
+        operator = self._operator
+        return [
+            operator.put,
+            operator.put,
+            operator.put,
+            operator.put_with_lost_answers,
+            operator.resend_newest,
+            operator.race,
+            operator.put_invalid,
+            operator.read,
+        ]
+
     def stop_edge(self) -> None:
         """Stop an edge machine in order and start it again."""
         self._actions.act_on_some(self._system.edges, 1, self._actions.restart_stopped)
@@ -90,16 +104,6 @@
         gevent.sleep(1.0 + 3.0 * self._random.random())
         self.exchange_seeds()
 
-    def put_configuration(self) -> None:
-        """Put the next configuration, once the one before is acknowledged."""
-        with self._putting:
-            generation = self._generation + 1
-            body = make_configuration(generation, with_extra_route=bool(generation % 2))
-            answer = self._observer.operator().put_configuration(body, self._generation)
-            if answer.status != 200:
-                raise ServingError(ErrorCode.UNAVAILABLE, "put configuration", f"status {answer.status}")
-            self.configuration, self._generation = body, generation
-
     def evacuate(self) -> None:
         """Evacuate a zone and restore it."""
         zone = str(self._random.choice(list(Zone)))
--- a/src/nettledeal/standins/soak_system.py
+++ b/src/nettledeal/standins/soak_system.py
@@ -11,10 +11,12 @@
 from nettledeal.common.addresses import Address, parse_address
 from nettledeal.common.settings import Bounds, Listen, Settings
 from nettledeal.standins.backend import EngineSpeed, StandInBackend
+from nettledeal.standins.configuration_changes import OTHER_WEB_SERVICE
 from nettledeal.standins.layout import Layout, MachineClass, Network, Port, Zone, write_settings
 from nettledeal.standins.platform_list import PlatformList
-from nettledeal.standins.processes import SystemProcess
-from nettledeal.standins.scenario import make_backends
+from nettledeal.standins.processes import PROGRAM, SystemProcess
+from nettledeal.standins.scenario import make_backends, make_web_backends
+from nettledeal.standins.trouble import ContactJudge, TroubleLog
 
 STOP_TIMEOUT_S = 15.0
 UNREACHABLE_HOST = 250
@@ -39,7 +41,8 @@
 
     def _settings(self, name: str, role: MachineClass, host: str, zone: Zone, listen: Listen) -> Settings:
         settings = super(SoakLayout, self)._settings(name, role, host, zone, listen)
-        return msgspec.structs.replace(settings, seeds=list(self.seeds) or settings.seeds)
+        seeds = list(self.seeds) or settings.seeds
+        return msgspec.structs.replace(settings, seeds=seeds, log_requests=True)
 
 
 @dataclass(eq=False)
@@ -48,6 +51,7 @@
 
     `bootstrap` holds until the first start. `own_seeds`, if any, stand in its settings file in place of the
     system's. `disruptions` counts kills, freezes and thaws: a request during which it changes may be lost.
+    `life` counts its starts. `trouble` has what is done to it, `shared_trouble` also what is done to others.
     """
 
     process: SystemProcess
@@ -55,6 +59,22 @@
     bootstrap: bool = False
     own_seeds: list[str] = field(default_factory=list)
     disruptions: int = 0
+    life: int = 0
+    trouble: TroubleLog = field(default_factory=TroubleLog)
+    shared_trouble: TroubleLog | None = None
+
+    def begin_trouble(self) -> None:
+        """Something is being done to it from now on."""
+        for log in self._trouble_logs():
+            log.begin()
+
+    def end_trouble(self) -> None:
+        """It runs undisturbed again, or is gone for good."""
+        for log in self._trouble_logs():
+            log.end()
+
+    def _trouble_logs(self) -> list[TroubleLog]:
+        return [self.trouble] if self.shared_trouble is None else [self.trouble, self.shared_trouble]
 
     @property
     def settings(self) -> Settings:
@@ -86,6 +106,7 @@
         if self.settings.data_dir is not None:
             Path(self.settings.data_dir).mkdir(parents=True, exist_ok=True)
         self.write_settings()
+        self.life += 1
         self.process.start()
         self.bootstrap = False
 
@@ -98,15 +119,27 @@
 class SoakSystem:
     """All processes and stand-ins of one soak; stops everything that it started."""
 
-    def __init__(self, folder: Path, network: Network, edges: int, relays: int, bounds: Bounds):
-        self.folder = folder
+    def __init__(
+        self,
+        folder: Path,
+        network: Network,
+        edges: int,
+        relays: int,
+        bounds: Bounds,
+        program: Path = PROGRAM,
+    ):
+        """`program`: the serving system's program, which may be another release's."""
+        self.folder, self._program = folder, program
         self.layout = SoakLayout(network, edges=edges, bounds=bounds)
+        self.contact = ContactJudge(bounds)
         self._core_count = self.layout.cores
-        self._started: list[SystemProcess] = []
+        self.all_machines: list[Machine] = []  # also those that are gone for good
         self.cores = [self._make_core(number, number, True) for number in range(self.layout.cores)]
         self.edges = [self._make_edge(number) for number in range(edges)]
         self.relays = [self._make_relay(number) for number in range(relays)]
-        self.backends: list[StandInBackend] = make_backends(self.layout, BACKEND_SPEED, BACKEND_SPEED)
+        backends = make_backends(self.layout, BACKEND_SPEED, BACKEND_SPEED)
+        others = make_web_backends(self.layout, OTHER_WEB_SERVICE, BACKEND_SPEED, len(backends))
+        self.backends: list[StandInBackend] = [*backends, *others]
         self._platform = PlatformList(
             self.layout.platform_address, [backend.catalogue_entry for backend in self.backends]
         )
@@ -129,11 +162,10 @@
             machine.start()
 
     def add_successor(self, gone: Machine) -> Machine:
-        """Start a core machine with an empty disk at a new address in place of another one."""
+        """A core machine with an empty disk at a new address in place of another one, to be started."""
         number, self._core_count = self._core_count, self._core_count + 1
         successor = self._make_core(number, self._zone_number(gone), False)
         self.cores[self.cores.index(gone)] = successor
-        successor.start()
         return successor
 
     def name_seeds(self, seeds: Sequence[str]) -> None:
@@ -153,7 +185,7 @@
 
     def stop(self) -> None:
         """Stop everything, also machines that were to be replaced."""
-        running = [process for process in self._started if process.running]
+        running = [machine.process for machine in self.all_machines if machine.process.running]
         for process in running:
             process.thaw()
             process.terminate()
@@ -173,6 +205,7 @@
             lambda: self.layout.core_settings(number, self.folder, False, zone),
         )
         machine.bootstrap = bootstrap
+        machine.shared_trouble = self.contact.core
         return machine
 
     def _make_edge(self, number: int) -> Machine:
@@ -187,5 +220,7 @@
 
     def _make_machine(self, name: str, role: MachineClass, make_settings: Callable[[], Settings]) -> Machine:
         process = SystemProcess(name, str(role), self.folder / f"{name}.toml")
-        self._started.append(process)
-        return Machine(process, make_settings)
+        process.program = self._program
+        machine = Machine(process, make_settings)
+        self.all_machines.append(machine)
+        return machine
