--- a/tests/system/cut_program.py
+++ b/src/nettledeal/standins/cut_program.py
@@ -1,10 +1,11 @@
 """The system's program with network partitions that a test controls.
 
 Each line of the file SETTINGS.cuts drops one direction: `in HOST` for traffic from a host, `out HOST` for
-traffic to it.
+traffic to it. Cut are the connections between core machines and to publishers, and membership's datagrams and
+streams; operators and clients reach every machine.
 
-As in a real partition, a cut connection stays silent; it breaks, and loses data in flight, if the cut lasts
-longer than its sender's timeout.
+As in a real partition, a cut connection stays silent, also if the other end dies; it breaks, and loses data
+in flight, if the cut lasts longer than its sender's timeout.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from nettledeal.common.messages import FrameConnection
 from nettledeal.common.settings import SETTINGS_VARIABLE
 from nettledeal.control import mesh
+from nettledeal.membership.host import Host
 
 CHECK_INTERVAL_S = 0.02
 BREAK_AFTER_S = 1.5
@@ -64,8 +66,14 @@
         return send(self, message)
 
     def cut_receive(self, timeout_s=None):
-        message = receive(self, timeout_s)
-        cuts.wait("in", self.peer.partition(":")[0])
+        host = self.peer.partition(":")[0]
+        try:
+            message = receive(self, timeout_s)
+        except ServingError:
+            if cuts.holds("in", host):
+                gevent.sleep(timeout_s or BREAK_AFTER_S)
+            raise
+        cuts.wait("in", host)
         return message
 
     def cut_connect(address, timeout_s, silence_s):
@@ -76,6 +84,17 @@
 
     FrameConnection.send, FrameConnection.receive = cut_send, cut_receive
     connections.connect = mesh.connect = cut_connect
+    _install_in_membership(cuts)
+
+
+def _install_in_membership(cuts: Cuts) -> None:
+    """Drop what members send each other, at the receiver; a cut direction is listed at both ends."""
+    decode = Host._decode
+
+    def cut_decode(self, raw, max_bytes, source):
+        return None if cuts.holds("in", source[0]) else decode(self, raw, max_bytes, source)
+
+    Host._decode = cut_decode
 
 
 if __name__ == "__main__":
--- a/src/nettledeal/standins/soak.py
+++ b/src/nettledeal/standins/soak.py
@@ -24,7 +24,7 @@
 from nettledeal.standins.configuration_probes import ConfigurationProber, probe_kind
 from nettledeal.standins.configuration_rules import ConfigurationRules, Contact, ReadBack
 from nettledeal.standins.layout import Network
-from nettledeal.standins.processes import PROGRAM, wait_until
+from nettledeal.standins.processes import wait_until
 from nettledeal.standins.scenario import BRIEF, CARD, QUESTION
 from nettledeal.standins.soak_actions import Event, MachineActions
 from nettledeal.standins.soak_clients import KeptClient, LostAnswer
@@ -32,7 +32,7 @@
 from nettledeal.standins.soak_observer import SoakObserver
 from nettledeal.standins.soak_operator import SoakOperator
 from nettledeal.standins.soak_overlapping_events import OverlappingEvents
-from nettledeal.standins.soak_system import Machine, SoakSystem
+from nettledeal.standins.soak_system import CUT_PROGRAM, Machine, SoakSystem
 
 KINDS = (BRIEF, QUESTION, CARD)
 BOUNDS = Bounds(grace_s=8.0)
@@ -82,12 +82,14 @@
         edges: int = 3,
         relays: int = 3,
         network: int = 0,
-        program: Path = PROGRAM,
+        program: Path | None = None,
     ):
         self.random = Random(f"{seed} soak")
         self.report = SoakReport(seed)
         self._started_s = time.monotonic()
-        self.system = SoakSystem(folder, Network.of_this_process(network), edges, relays, BOUNDS, program)
+        self.system = SoakSystem(
+            folder, Network.of_this_process(network), edges, relays, BOUNDS, program or CUT_PROGRAM
+        )
         actions = MachineActions(self.random, RECOVER_WITHIN_S)
         self.observer = SoakObserver(self.system, self.random, RECOVER_WITHIN_S)
         self.operator = SoakOperator(lambda: self.system.control_addresses, self._fork())
@@ -252,7 +254,9 @@
     parser.add_argument("--length", type=float, default=20.0, help="seconds of events")
     parser.add_argument("--edges", type=int, default=3)
     parser.add_argument("--relays", type=int, default=3)
-    parser.add_argument("--program", type=Path, default=PROGRAM, help="of another release, to compare with")
+    parser.add_argument(
+        "--program", type=Path, help="of another release, to compare with; without partitions"
+    )
     parser.add_argument("--keep", type=Path, help="write the logs of a broken run to this folder")
     parsed = parser.parse_args()
     broken = 0
--- a/src/nettledeal/standins/soak_actions.py
+++ b/src/nettledeal/standins/soak_actions.py
@@ -10,12 +10,14 @@
 import gevent
 
 from nettledeal.common.errors import ErrorCode, ServingError
+from nettledeal.standins.partitions import Direction, Partitions
 from nettledeal.standins.processes import wait_until
 from nettledeal.standins.soak_system import Machine
 
 STOP_WITHIN_S = 12.0
 MAX_FREEZE_S = 3.0
 MAX_DOWN_S = 2.0
+MAX_CUT_S = 6.0
 MAX_START_SPREAD_S = 1.0
 # An event on one machine ends within this time.
 RESERVE_WITHIN_S = 40.0
@@ -26,6 +28,7 @@
     """Signals and restarts; a process serves `start_within_s` after its start at the latest."""
 
     def __init__(self, random: Random, start_within_s: float):
+        self.partitions = Partitions()
         self._random, self._start_within_s = random, start_within_s
         self._busy: set[Machine] = set()
         self._claimed: set[Machine] = set()
@@ -98,6 +101,16 @@
             machine.process.thaw()
             machine.end_trouble()
 
+    def cut(self, machines: list[Machine], others: list[Machine]) -> None:
+        """Cut machines off from others for some time, in both directions or in one."""
+        direction = self._random.choice((Direction.BOTH, *Direction))
+        for machine in machines:
+            machine.begin_trouble()
+        with self.partitions.between(machines, others, direction):
+            gevent.sleep(MAX_CUT_S * self._random.random())
+        for machine in machines:
+            machine.end_trouble()
+
     def stop(self, machine: Machine) -> None:
         """SIGTERM once the process serves, after which it may be started again or be gone for good.
 
--- a/src/nettledeal/standins/soak_core_events.py
+++ b/src/nettledeal/standins/soak_core_events.py
@@ -9,6 +9,7 @@
 import gevent
 
 from nettledeal.standins.layout import SEEDS
+from nettledeal.standins.partitions import Direction
 from nettledeal.standins.soak_actions import Event, MachineActions
 from nettledeal.standins.soak_observer import SoakObserver
 from nettledeal.standins.soak_operator import SoakOperator
@@ -39,6 +40,8 @@
             self.kill_core,
             self.stop_core,
             self.freeze_core,
+            self.cut_core,
+            self.lose_power_of_core,
             self.wipe_core,
             self.wipe_core,
             self.replace_dead_core,
@@ -55,6 +58,20 @@
         """Kill a core machine and start it again."""
         self._actions.restart_killed([self._any_core()])
 
+    def lose_power_of_core(self) -> None:
+        """A core machine loses power: nobody is told that its connections have ended; it keeps its disk."""
+        core = self._any_core()
+        with self._actions.partitions.between([core], self._system.machines, Direction.BOTH):
+            self._actions.kill([core])
+            self._actions.pause()
+        self._actions.start([core])
+
+    def cut_core(self) -> None:
+        """Cut a core machine off from the other core machines, or from all machines."""
+        core = self._any_core()
+        others = self._random.choice((self._system.cores, self._system.machines))
+        self._actions.cut([core], [machine for machine in others if machine is not core])
+
     def kill_all_cores(self) -> None:
         """Kill all core machines at once; their disks are kept."""
         with self._system.contact.core_majority.during():
@@ -98,6 +115,7 @@
         return [
             lambda: None,
             self.kill_core,
+            self.cut_core,
             self.wipe_core,
             self.wipe_core,
             self.replace_dead_core,
--- a/src/nettledeal/standins/soak_overlapping_events.py
+++ b/src/nettledeal/standins/soak_overlapping_events.py
@@ -34,6 +34,7 @@
             self.stop_edge,
             self.kill_edge,
             self.freeze_edge,
+            self.cut_edge,
             self.stop_relays,
             self.kill_relays,
             self.hang_up,
@@ -69,6 +70,12 @@
         """Suspend an edge machine for some time."""
         self._actions.act_on_some(self._system.edges, 1, self._actions.freeze)
 
+    def cut_edge(self) -> None:
+        """Cut an edge machine off from the core machines, or from one of them."""
+        cores = list(self._system.cores)
+        others = self._random.choice((cores, [self._random.choice(cores)]))
+        self._actions.act_on_some(self._system.edges, 1, lambda chosen: self._actions.cut(chosen, others))
+
     def stop_relays(self) -> None:
         """Stop one relay or all in order, and start them together."""
         relays = self._system.relays
--- a/src/nettledeal/standins/soak_system.py
+++ b/src/nettledeal/standins/soak_system.py
@@ -10,15 +10,17 @@
 
 from nettledeal.common.addresses import Address, parse_address
 from nettledeal.common.settings import Bounds, Listen, Settings
+from nettledeal.standins import cut_program
 from nettledeal.standins.backend import EngineSpeed, StandInBackend
 from nettledeal.standins.configuration_changes import OTHER_WEB_SERVICE
 from nettledeal.standins.layout import Layout, MachineClass, Network, Port, Zone, write_settings
 from nettledeal.standins.platform_list import PlatformList
-from nettledeal.standins.processes import PROGRAM, SystemProcess
+from nettledeal.standins.processes import SystemProcess
 from nettledeal.standins.scenario import make_backends, make_web_backends
 from nettledeal.standins.trouble import ContactJudge, TroubleLog
 
 STOP_TIMEOUT_S = 15.0
+CUT_PROGRAM = Path(cut_program.__file__)
 UNREACHABLE_HOST = 250
 BACKEND_SPEED = EngineSpeed(plain_answer_s=0.02, event_interval_s=0.01)
 
@@ -126,7 +128,7 @@
         edges: int,
         relays: int,
         bounds: Bounds,
-        program: Path = PROGRAM,
+        program: Path = CUT_PROGRAM,
     ):
         """`program`: the serving system's program, which may be another release's."""
         self.folder, self._program = folder, program
--- a/tests/system/order_processes.py
+++ b/tests/system/order_processes.py
@@ -22,14 +22,15 @@
 from nettledeal.common.http_client import HttpClient
 from nettledeal.common.settings import Bounds
 from nettledeal.operator_api.api import CONFIGURATION_PATH, EVACUATIONS_PATH
+from nettledeal.standins import cut_program
+from nettledeal.standins.cut_program import cuts_path
 from nettledeal.standins.layout import Layout, Network, Zone
 from nettledeal.standins.processes import SystemProcess, wait_until
 from nettledeal.standins.small_system import SmallSystem
-from tests.system.cut_program import cuts_path
 from tests.system.operator_api_support import make_body
 from tests.system.order_history import FOREVER, Answer, Evacuation, History, Put, Read
 
-PROGRAM = Path(__file__).with_name("cut_program.py")
+PROGRAM = Path(cut_program.__file__)
 BOUNDS = Bounds(contact_ms=2000.0, ack_ms=2000.0, grace_s=4.0)
 CALL_TIMEOUT_S = 1.2
 OPERATORS = 4
--- a/tests/system/stale_program.py
+++ b/tests/system/stale_program.py
@@ -7,7 +7,7 @@
 
 from nettledeal.common.settings import SETTINGS_VARIABLE
 from nettledeal.control.primary import Primary
-from system.cut_program import Cuts, cuts_path, install
+from nettledeal.standins.cut_program import Cuts, cuts_path, install
 
 
 def read_unconfirmed(self, now: float, call_id: int) -> None:
