Programs: a SIGHUP that comes while a plane is being loaded no longer ends it

Cause: SIGHUP kept its default action until the plane served. The soak sends it to processes that are being loaded, too.

--- a/src/nettledeal/programs/main.py
+++ b/src/nettledeal/programs/main.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 from collections.abc import Sequence
 from importlib import import_module
@@ -46,6 +47,10 @@
 )
 
 
+# These run until they are told to stop, and follow their settings file.
+PLANES = frozenset({"data-plane", "control-plane"})
+
+
 def build_parser() -> argparse.ArgumentParser:
     """The parser of what stands before a subcommand's own arguments."""
     lines = [f"  {name:<15} {entry.summary}" for name, entry in SUBCOMMANDS.items()]
@@ -76,6 +81,9 @@
 
 def run_subcommand(name: str, arguments: Sequence[str], settings_path: Path | None) -> int:
     """Run one subcommand; raises ServingError, or OSError where an address or a file can't be had."""
+    if name in PLANES:
+        # Its default would end a process that is still being loaded. The settings file is read again later.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     module: ModuleType = import_module(f"nettledeal.programs.commands.{SUBCOMMANDS[name].module}")
     parser = argparse.ArgumentParser(prog=f"{PROGRAM} {name}", description=module.__doc__)
     module.add_arguments(parser)
--- a/src/nettledeal/standins/processes.py
+++ b/src/nettledeal/standins/processes.py
@@ -20,6 +20,8 @@
 ROOT = Path(__file__).resolve().parents[3]
 PROGRAM = ROOT / "src" / "nettledeal_system.py"
 POLL_INTERVAL_S = 0.05
+# In /proc/PID/status: the signals that a process ignores, and those that it handles.
+SIGNAL_MASKS = ("SigIgn:", "SigCgt:")
 MAX_LOG_LINES = 2000
 # Logged for single requests: these only go to the file.
 REQUEST_EVENT = b'"dataplane:request"'
@@ -97,6 +99,17 @@
         if self.running:
             self._process.send_signal(number)
 
+    def withstands(self, number: Signals) -> bool:
+        """Whether the process runs and handles or ignores a signal that would end it by default."""
+        if not self.running:
+            return False
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return False
+        masks = [int(line.split()[1], 16) for line in status.splitlines() if line.startswith(SIGNAL_MASKS)]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     def kill(self) -> None:
         """Kill it with SIGKILL."""
         self.signal(Signals.SIGKILL)
--- a/src/nettledeal/standins/soak_actions.py
+++ b/src/nettledeal/standins/soak_actions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from random import Random
 from signal import SIGHUP, SIGKILL
 
@@ -124,7 +124,6 @@
             raise ServingError(ErrorCode.TIMED_OUT, "stop", f"status {status}", machine.process.name)
 
     def hang_up(self, machine: Machine) -> None:
-        """SIGHUP, but not before the process serves, which would end it (issue 68)."""
-        with suppress(ServingError):
-            machine.process.wait_for("process:started", 0.0)
+        """SIGHUP, also to a process that is being loaded, but not before its interpreter runs."""
+        if machine.process.withstands(SIGHUP):
             machine.process.signal(SIGHUP)
