Connections: a core machine goes on accepting, and a process goes on connecting, after the kernel refused

Cause: Mesh._accept ended at its first OSError; connect() let the error of socket() through, which ended the greenlet that keeps a link or a stream. Change: accept pauses and goes on, as the ingress does; the error counts as a lost connection.

--- a/src/nettledeal/common/connections.py
+++ b/src/nettledeal/common/connections.py
@@ -14,14 +14,16 @@
 
     Raises ServingError with CONNECTION_LOST.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = None
     try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         tune(sock, silence_s)
         sock.settimeout(timeout_s)
         sock.connect(address)
         sock.settimeout(None)
     except OSError as error:
-        sock.close()
+        if sock is not None:
+            sock.close()
         raise ServingError(ErrorCode.CONNECTION_LOST, "connect", str(error), str(address)) from None
     return sock
 
--- a/src/nettledeal/control/mesh.py
+++ b/src/nettledeal/control/mesh.py
@@ -24,6 +24,7 @@
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
 MAX_QUEUED_MESSAGES = 512
+ACCEPT_PAUSE_S = 0.05
 
 
 class Link:
@@ -122,6 +123,7 @@
         self._links: dict[str, Link] = {}
         self._incoming: dict[str, FrameConnection] = {}
         self._listener = None
+        self._stopped = False
 
     def start(self) -> None:
         """Start accepting connections. Raises OSError if the port is taken."""
@@ -130,6 +132,7 @@
 
     def stop(self) -> None:
         """Close all links and connections."""
+        self._stopped = True
         for link in self._links.values():
             link.close()
         for connection in list(self._incoming.values()):
@@ -152,12 +155,16 @@
             link.send(message)
 
     def _accept(self) -> None:
-        while True:
+        while not self._stopped:
             try:
                 sock, (host, _) = self._listener.accept()
-            except OSError:
-                return
-            tune(sock, self._silence_s)
+                tune(sock, self._silence_s)
+            except OSError as error:
+                # Out of file descriptors, or the peer has gone already; the listener itself stays open.
+                if not self._stopped:
+                    log_event("control:accept_failed", reason=str(error))
+                    gevent.sleep(ACCEPT_PAUSE_S)
+                continue
             gevent.spawn(self._serve, FrameConnection(sock, CODEC, host))
 
     def _serve(self, connection: FrameConnection) -> None:
