--- a/tests/system/test_membership_seeds.py
+++ b/tests/system/test_membership_seeds.py
@@ -132,3 +132,33 @@
     # Guards against a pause between exchanges that grows while there is nobody to exchange with: the seeds
     # are those of which the new member met the late one before that had met the rest.
     assert [seed for seed in (65, 140) if not knows_all_after(seed, FIRST_EXCHANGE_S)] == []
+
+
+GONE_FOR_GOOD = (3, 4, 5, 6)
+SEEDS_DOWN_S = 0.9
+# Of the time in which a machine catches up, what is left for its replica to join and copy the state.
+REPLICATION_S = 1.0
+
+
+def meets_a_core_machine(seed: int) -> bool:
+    """Whether a member that starts while its seeds are all being restarted finds a core machine in time."""
+    group = Group(MEMBERS - CORES, seed)
+    group.run(20)
+    for number in GONE_FOR_GOOD:
+        stop(group, number)
+    group.run(30)
+    for number in RELAYS:
+        stop(group, number)
+    group.seeds = [(f"10.1.0.{number}", 7723) for number in RELAYS]
+    member = group.members[group.add(MEMBERS)]
+    group.run(SEEDS_DOWN_S)
+    for number in RELAYS:
+        group.add(number)
+    group.run(CATCH_UP_S - REPLICATION_S)
+    known = {record.address for record in member.live_members()}
+    return any(core in known for core in (("10.1.0.0", 7722), ("10.1.0.1", 7722), ("10.1.0.2", 7722)))
+
+
+def test_a_member_whose_seeds_are_all_being_restarted_finds_the_others_in_the_time_to_catch_up():
+    # Guards against a successor that is still alone when the next disk is lost, which leaves no majority.
+    assert [seed for seed in range(30) if not meets_a_core_machine(seed)] == []
