Membership: members that went lately are tried about every second by the group

Callers saw a configuration that had been acknowledged and could not be read back any more, and orders answered with 503 for good: after a core machine was replaced, one disk was lost while all other machines lost power, and no majority was left. Cause: the successor was alone for as long as it has to catch up. Its seeds had been restarted together; they knew only one another, and the others tried each member that had left about every 8 s: every 2 to 6 s one absent member, drawn among all that ever went. Attempts to join also paused for up to 3 s. Change: an absent member is tried at intervals of a tenth of its absence, between 2.5 and 10 protocol periods (1 and 4 s) for the group as a whole; attempts to join pause for 1.5 s at most. Why this works: what is back within some seconds is found within about a second, however many others are gone for good; the steady rate is as before.

--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -15,7 +15,11 @@
 # apart, and no further extra ones within this share of the regular exchange interval.
 RETURN_EXCHANGES, RETURN_PERIODS, RETURN_QUIET_SHARE = 3, 4, 0.5
 # Longest delay between two attempts of a member that has not joined to contact seeds.
-MAX_JOIN_BACKOFF_TENTHS = 2 * SECOND
+MAX_JOIN_BACKOFF_TENTHS = SECOND
+# How often the group as a whole contacts an absent member, in protocol periods: at first, and at the least.
+MIN_RETRY_PERIODS, MAX_RETRY_PERIODS = 2.5, 10
+# In between, the interval is this share of the time for which the member has been absent.
+RETRY_SHARE_OF_ABSENCE = 0.1
 
 
 class JoiningMixin(MemberBase):
@@ -85,18 +89,36 @@
         # With a member of any zone: members of one zone were cut off together and miss the same updates.
         self._exchange_views(self._sample(self.ring, 1))
 
-    def _try_dead_member(self) -> None:
-        """Now and then contact a dead member, since after a partition each side holds the other one dead, or
-        one that announced its end: it may have been restarted with seeds that lead to no member of this side.
-        The probability is about their share of the group, or all live members would contact the same few."""
-        self._schedule(self.now + self._jittered(10 * self.timing.period), "try_dead_member")
-        dead = {record.address for record in self.view.records.values() if _may_return(record)}
-        dead |= set(self.seeds) - {self.view.records[name].address for name in self.ring}
-        if dead and self.rng.random() < len(dead) / (len(dead) + len(self.ring)) + 0.01:
-            self._sync_with(self.rng.choice(sorted(dead)))
+    def _try_absent_members(self) -> None:
+        """Now and then contact members that are dead, since after a partition each side holds the other one
+        dead, or have announced their end: they may be back with seeds that lead to no member of this side.
+
+        Each member contacts an absent one with a probability such that the group does so at the intervals
+        given above: those that went lately often, as they may be back at any moment, the others seldom.
+        """
+        tick = MIN_RETRY_PERIODS * self.timing.period
+        self._schedule(self.now + self._jittered(round(tick)), "try_absent_members")
+        due = [
+            address
+            for address, interval in sorted(self._retry_intervals().items())
+            if self.rng.random() < tick / (interval * (len(self.ring) + 1))
+        ]
+        if due:
+            self._sync_with(self.rng.choice(due))
         if not self.ring and self.joined:
             self._sync_with_seeds()  # no other member is left
 
+    def _retry_intervals(self) -> dict[Address, float]:
+        """How often the group contacts each absent member; seeds that are no members count as long absent."""
+        least, most = MIN_RETRY_PERIODS * self.timing.period, MAX_RETRY_PERIODS * self.timing.period
+        present = {self.view.records[name].address for name in self.ring}
+        intervals = dict.fromkeys(set(self.seeds) - present, most)
+        for record in self.view.records.values():
+            if _may_return(record):
+                absent_for = self.now - self.view.state_since[record.name]
+                intervals[record.address] = min(most, max(least, RETRY_SHARE_OF_ABSENCE * absent_for))
+        return intervals
+
     def _sync_with_random(self, names: list[str]) -> None:
         for member in self._sample(names, 1):
             self._sync_with(member.address)
--- a/src/nettledeal/membership/member.py
+++ b/src/nettledeal/membership/member.py
@@ -49,7 +49,7 @@
         self.now = now
         self._schedule(now + self._jittered(self.timing.period), "probe_round")
         self._schedule(now + self._jittered(self.sync_interval), "sync_round")
-        self._schedule(now + self._jittered(10 * self.timing.period), "try_dead_member")
+        self._schedule(now + self._jittered(10 * self.timing.period), "try_absent_members")
         self._join()
         return self._finish_step()
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -276,7 +276,7 @@
 class NeverContactsDead(Member):
     """Never contacts dead members, so the sides of a partition don't find each other again."""
 
-    def _try_dead_member(self):
+    def _try_absent_members(self):
         pass
 
 
