Membership: seeds that are away are tried like members that went lately, and groups that meet tell their members

Callers saw the same as with the fault before: an acknowledged configuration that can't be read back, orders answered with 503 and added routes that an edge machine in touch doesn't serve, after one disk and all power were lost. Cause: core machines that were all restarted knew one another by the records on their disks, so that they counted as joined and tried their only seed, which was away, once in 4 s; and a member that had joined that seed learned of the core machines by gossip alone, one after the other. Change: a seed that is no member is tried at the same intervals as an absent member; the first check comes after 1 s, not 4; each absent address is tried every 0.5 to 4 s. A full view that names a quarter more members than were known is followed by exchanges of views with three of these. Why this works: whoever is back is met within about a second, and all of both groups know one another some tenths of a second later.

--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -14,10 +14,15 @@
 # After a member held dead turns out to be alive: this many extra exchanges, about this many protocol periods
 # apart, and no further extra ones within this share of the regular exchange interval.
 RETURN_EXCHANGES, RETURN_PERIODS, RETURN_QUIET_SHARE = 3, 4, 0.5
+# Two groups have met if a full view names so many unknown members, and this share of those known before: some
+# of these are told by an exchange of views, as gossip about that many would take long.
+MIN_MET, MET_SHARE, MET_EXCHANGES = 3, 0.25, 3
 # Longest delay between two attempts of a member that has not joined to contact seeds.
 MAX_JOIN_BACKOFF_TENTHS = SECOND
+# How often each member decides whom it contacts of those absent, in protocol periods.
+RETRY_CHECK_PERIODS = 2.5
 # How often the group as a whole contacts an absent member, in protocol periods: at first, and at the least.
-MIN_RETRY_PERIODS, MAX_RETRY_PERIODS = 2.5, 10
+MIN_RETRY_PERIODS, MAX_RETRY_PERIODS = 1.25, 10
 # In between, the interval is this share of the time for which the member has been absent.
 RETRY_SHARE_OF_ABSENCE = 0.1
 
@@ -85,6 +90,14 @@
                 self.now + self._jittered(number * RETURN_PERIODS * self.timing.period), "reconcile"
             )
 
+    def _tell_former_group(self, known_before: list[str]) -> None:
+        """Exchange views with some of those known before, if a full view has just named another group."""
+        met = len(self.ring) - len(known_before)
+        if self.joined and known_before and met >= max(MIN_MET, MET_SHARE * len(known_before)):
+            present = set(self.ring)
+            former = [name for name in known_before if name in present]
+            self._exchange_views(self._sample(former, MET_EXCHANGES))
+
     def _reconcile(self) -> None:
         # With a member of any zone: members of one zone were cut off together and miss the same updates.
         self._exchange_views(self._sample(self.ring, 1))
@@ -96,28 +109,34 @@
         Each member contacts an absent one with a probability such that the group does so at the intervals
         given above: those that went lately often, as they may be back at any moment, the others seldom.
         """
-        tick = MIN_RETRY_PERIODS * self.timing.period
-        self._schedule(self.now + self._jittered(round(tick)), "try_absent_members")
+        self._schedule_retry_check()
+        check_interval = RETRY_CHECK_PERIODS * self.timing.period
         due = [
             address
             for address, interval in sorted(self._retry_intervals().items())
-            if self.rng.random() < tick / (interval * (len(self.ring) + 1))
+            if self.rng.random() < check_interval / (interval * (len(self.ring) + 1))
         ]
         if due:
             self._sync_with(self.rng.choice(due))
         if not self.ring and self.joined:
             self._sync_with_seeds()  # no other member is left
 
+    def _schedule_retry_check(self) -> None:
+        interval = round(RETRY_CHECK_PERIODS * self.timing.period)
+        self._schedule(self.now + self._jittered(interval), "try_absent_members")
+
     def _retry_intervals(self) -> dict[Address, float]:
-        """How often the group contacts each absent member; seeds that are no members count as long absent."""
+        """How often the group contacts each absent member, and each seed that is no member."""
         least, most = MIN_RETRY_PERIODS * self.timing.period, MAX_RETRY_PERIODS * self.timing.period
         present = {self.view.records[name].address for name in self.ring}
-        intervals = dict.fromkeys(set(self.seeds) - present, most)
+        absent_since = {seed: since for seed, since in self.seed_since.items() if seed not in present}
         for record in self.view.records.values():
             if _may_return(record):
-                absent_for = self.now - self.view.state_since[record.name]
-                intervals[record.address] = min(most, max(least, RETRY_SHARE_OF_ABSENCE * absent_for))
-        return intervals
+                absent_since[record.address] = self.view.state_since[record.name]
+        return {
+            address: min(most, max(least, RETRY_SHARE_OF_ABSENCE * (self.now - since)))
+            for address, since in absent_since.items()
+        }
 
     def _sync_with_random(self, names: list[str]) -> None:
         for member in self._sample(names, 1):
--- a/src/nettledeal/membership/member.py
+++ b/src/nettledeal/membership/member.py
@@ -49,7 +49,7 @@
         self.now = now
         self._schedule(now + self._jittered(self.timing.period), "probe_round")
         self._schedule(now + self._jittered(self.sync_interval), "sync_round")
-        self._schedule(now + self._jittered(10 * self.timing.period), "try_absent_members")
+        self._schedule_retry_check()
         self._join()
         return self._finish_step()
 
@@ -74,8 +74,10 @@
         """Handle the request of an incoming stream; returns the answer to send back, if any."""
         self._advance_clock(now)
         answer = None
+        known_before = list(self.ring)
         if self._apply_packet(packet, packet.sender.address):
             if packet.kind == SYNC_REQUEST:
+                self._tell_former_group(known_before)
                 self._views_exchanged()
                 answer = self._make_full_view_packet(SYNC_RESPONSE, packet.sequence_number)
             elif packet.kind == COMPARE:
@@ -92,8 +94,10 @@
         self._advance_clock(now)
         if refused:
             self.last_heard_at = self.now
+        known_before = list(self.ring)
         if packet is not None and self._apply_packet(packet, request.address):
             if packet.kind == SYNC_RESPONSE:
+                self._tell_former_group(known_before)
                 self._views_exchanged()
                 self._finish_comparison(request)
             elif packet.kind == SAME:
--- a/src/nettledeal/membership/member_base.py
+++ b/src/nettledeal/membership/member_base.py
@@ -41,10 +41,11 @@
         self.codec = codec or MsgpackCodec()
         self.name, self.address, self.cluster = name, address, cluster
         self.timing, self.rng = timing, rng
+        self.now = now
+        self.seed_since: dict[Address, Time] = {}  # since when each seed has been one
         self.use_seeds(seeds)
         self.view, self.updates, self.health = View(), PiggybackQueue(timing.told), LocalHealth()
         self.own_record = MemberRecord(name, *address, now, 0, State.ALIVE, "", zone_number, metadata)
-        self.now = now
         self.clock_correction: Time = 0  # added to the host's clock, which may be set back
         self.silent = False  # it has left, or another process bears its name
         # A later process that is said to bear this member's name, and until when it is pinged.
@@ -75,6 +76,7 @@
     def use_seeds(self, seeds: Iterable[Address]) -> None:
         """Replace the seeds; nobody is contacted."""
         self.seeds = [seed for seed in seeds if seed != self.address]
+        self.seed_since = {seed: self.seed_since.get(seed, self.now) for seed in self.seeds}
 
     @property
     def is_receiving(self) -> bool:
--- a/tests/system/test_membership_seeds.py
+++ b/tests/system/test_membership_seeds.py
@@ -162,3 +162,32 @@
 def test_a_member_whose_seeds_are_all_being_restarted_finds_the_others_in_the_time_to_catch_up():
     # Guards against a successor that is still alone when the next disk is lost, which leaves no majority.
     assert [seed for seed in range(30) if not meets_a_core_machine(seed)] == []
+
+
+SEED_COMES_AFTER_S = 4.0
+
+
+def finds_the_restarted_core_machines(seed: int) -> bool:
+    """Whether a member finds core machines that know one another, as soon after its only seed has come.
+
+    That is the seed of the core machines, too; it was down when they started.
+    """
+    group = Group(0, seed)
+    cores = list(group.members)[:2]
+    group.members.clear()
+    group.events.clear()
+    relay = (f"10.1.0.{MEMBERS}", 7723)
+    group.seeds = [relay, *cores]
+    for number in range(len(cores)):
+        group.add(number)
+    group.run(SEED_COMES_AFTER_S)
+    group.seeds = [relay]
+    group.add(MEMBERS)
+    member = group.members[group.add(MEMBERS + 1)]
+    group.run(CATCH_UP_S - REPLICATION_S)
+    return any(record.address in cores for record in member.live_members())
+
+
+def test_core_machines_that_know_one_another_find_a_seed_that_was_away():
+    # Guards against core machines that join one another and hardly try their seeds after that.
+    assert [seed for seed in range(30) if not finds_the_restarted_core_machines(seed)] == []
