Distribution: a subscriber whose publisher is stale looks for another at least every 1.25 s

Cause: the pause between two searches grew to 5 s. A change that was acknowledged meanwhile, while the publisher is cut off for long and nothing newer could be seen before, was in force after the next search only; it has 2.5 s. Change: the interval grows from 0.5 to 1 s, with its jitter of a quarter.

--- a/src/nettledeal/distribution/publisher_selection.py
+++ b/src/nettledeal/distribution/publisher_selection.py
@@ -12,7 +12,8 @@
 # Short, since after a power loss all publishers may start at once while clients wait for this process.
 MAX_RETRY_DELAY_S = 0.2
 INITIAL_SEARCH_INTERVAL_S = 0.5
-MAX_SEARCH_INTERVAL_S = 4.0
+# With the jitter, half of the shortest time in which a change has to be in force.
+MAX_SEARCH_INTERVAL_S = 1.0
 FAILURE_COOLDOWN_S = 4.0
 MIN_AGE_ADVANTAGE_S = 0.3
 
