Operator's API: an earlier configuration on top of the present one is refused, not acknowledged

Callers saw a rollback answered with 200 that was never in force: an earlier body put on top of the version in force has too low a generation and is invalid. Cause: an order was known by its body alone, so it was taken for the earlier one that came again. Found by reading; the soak puts such ones now. Change: an order is its body and the version that it builds on. The record of the configuration keeps the digest of the body. What an earlier release has accepted and is in force is still acknowledged when it comes again.

--- a/src/nettledeal/control/data_checks.py
+++ b/src/nettledeal/control/data_checks.py
@@ -16,8 +16,8 @@
     SHARE_PREFIX,
     TENANTS_KEY,
     ControlState,
+    configuration_digest,
 )
-from nettledeal.operator_api.api import order_digest
 from nettledeal.operator_api.configuration_checks import parse_configuration
 
 _SEQUENCE_BYTES = 8
@@ -59,7 +59,7 @@
         if body is not meta:
             yield f"{CONFIGURATION_KEY}: only one of it and {CONFIGURATION_META_KEY} is present"
         return
-    if order_digest(body) != meta.digest:
+    if configuration_digest(body) != meta.digest:
         yield f"{CONFIGURATION_KEY}: its digest differs from the recorded one"
     try:
         generation = parse_configuration(body).generation
--- a/src/nettledeal/control/decisions.py
+++ b/src/nettledeal/control/decisions.py
@@ -23,6 +23,7 @@
     SetEvacuation,
     SetTenantKey,
     accepted_key,
+    configuration_digest,
 )
 
 # Accepted orders that are remembered, so that a retry of one of them is acknowledged again.
@@ -44,7 +45,8 @@
 
 
 def _decide_configuration(state: ControlState, command: PutConfiguration) -> Decision:
-    if state.has_accepted(command.digest):
+    body_digest = configuration_digest(command.body)
+    if state.has_accepted(command.digest) or _put_in_force(state, command, body_digest):
         return Decision(Outcome.ACCEPTED)
     if command.expected_version != state.generation:
         return Decision(Outcome.CONFLICT)
@@ -53,7 +55,7 @@
     tenancy = _judge_tenancy(state, command)
     if tenancy.outcome is not Outcome.ACCEPTED:
         return tenancy
-    meta = ConfigurationMeta(command.generation, command.digest)
+    meta = ConfigurationMeta(command.generation, body_digest)
     accepted_at = (state.sequence + 1).to_bytes(8, "big")
     changes = (
         Change(CONFIGURATION_KEY, pack_json(command.body)),
@@ -63,6 +65,13 @@
     return Decision(Outcome.ACCEPTED, changes + tenancy.changes + _prune_accepted(state))
 
 
+def _put_in_force(state: ControlState, command: PutConfiguration, body_digest: bytes) -> bool:
+    """Whether the order put the configuration in force there: accepted orders of earlier releases were
+    remembered by their body alone."""
+    meta = state.configuration_meta
+    return meta is not None and meta.digest == body_digest and command.expected_version < meta.generation
+
+
 def _judge_tenancy(state: ControlState, command: PutConfiguration) -> Decision:
     if command.claims is None and TENANTS_KEY not in state.entries:
         return Decision(Outcome.ACCEPTED)
--- a/src/nettledeal/control/state.py
+++ b/src/nettledeal/control/state.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import xxhash
 from pyrsistent import PMap, pmap
 
 from nettledeal.common.compression import unpack_json
@@ -41,6 +42,11 @@
     value: bytes | None
 
 
+def configuration_digest(body: bytes) -> bytes:
+    """Identifies the content of a configuration."""
+    return xxhash.xxh3_128_digest(body)
+
+
 def accepted_key(digest: bytes) -> str:
     """The key of an accepted order."""
     return ACCEPTED_PREFIX + digest.hex()
@@ -93,7 +99,10 @@
 
 
 class PutConfiguration(msgspec.Struct, frozen=True):
-    """Replace the configuration of generation `expected_version`; `digest` identifies a retried order."""
+    """Replace the configuration of generation `expected_version`.
+
+    `digest` identifies the order when it is sent again: by its body and the version that it builds on.
+    """
 
     expected_version: int
     generation: int
--- a/src/nettledeal/operator_api/api.py
+++ b/src/nettledeal/operator_api/api.py
@@ -15,7 +15,14 @@
 
 from nettledeal.common.errors import ErrorCode, ServingError
 from nettledeal.common.logs import log_event
-from nettledeal.control.state import TENANTS_KEY, ControlState, Outcome, PutConfiguration, SetEvacuation
+from nettledeal.control.state import (
+    TENANTS_KEY,
+    ControlState,
+    Outcome,
+    PutConfiguration,
+    SetEvacuation,
+    configuration_digest,
+)
 from nettledeal.operator_api.configuration import Configuration
 from nettledeal.operator_api.configuration_checks import parse_configuration
 from nettledeal.operator_api.configuration_patch import parse_patch, patched
@@ -37,9 +44,12 @@
 StatusSection = Callable[[], object]
 
 
-def order_digest(body: bytes) -> bytes:
-    """Identifies a configuration, or a patch of one, that is sent again."""
-    return xxhash.xxh3_128_digest(body)
+def order_digest(expected_version: int, body: bytes) -> bytes:
+    """Identifies a configuration, or a patch of one, that is sent again unchanged.
+
+    The same body on top of another version is another order, which may be invalid by then.
+    """
+    return xxhash.xxh3_128_digest(f"{expected_version}\n".encode() + body)
 
 
 class OperatorApi:
@@ -76,7 +86,7 @@
             method=str(request.method),
             path=request.path,
             if_match=request.if_match,
-            digest=order_digest(request.body).hex(),
+            digest=configuration_digest(request.body).hex(),
             status=int(response.status),
             generation=self._node.state.generation,
         )
@@ -123,7 +133,8 @@
             configuration = parse_configuration(request.body)
         except ServingError as error:
             return refused(HTTPStatus.BAD_REQUEST, error.reason)
-        return self._submit(expected_version, configuration, order_digest(request.body), request.body)
+        digest = order_digest(expected_version, request.body)
+        return self._submit(expected_version, configuration, digest, request.body)
 
     def _patch_configuration(self, request: Request) -> Response:
         """Put the configuration in force that follows from the present one by a patch.
@@ -135,7 +146,7 @@
             patch = parse_patch(request.body)
         except ServingError as error:
             return refused(HTTPStatus.BAD_REQUEST, error.reason)
-        digest = order_digest(request.body)
+        digest = order_digest(expected_version, request.body)
         state = self._read()
         if state.has_accepted(digest):
             return accepted()
--- a/src/nettledeal/standins/soak_operator.py
+++ b/src/nettledeal/standins/soak_operator.py
@@ -97,6 +97,16 @@
             if proper is not None:
                 gevent.joinall([proper], raise_error=True)
 
+    def put_earlier_again(self) -> None:
+        """An earlier configuration on top of the present one, to be refused as its number is too low."""
+        with self._writing:
+            version = self.newest.generation if self.newest else 0
+            earlier = self._random.choice(self._acknowledged)
+            repeated = ConfigurationChange(
+                earlier.generation, version, earlier.body, earlier.services, valid=False
+            )
+            self._send(repeated, may_lose=True)
+
     def _next_change(self, variant: str = "") -> ConfigurationChange:
         version = self.newest.generation if self.newest else 0
         generation = version + self._random.randint(1, MAX_GENERATION_STEP)
--- a/src/nettledeal/standins/soak_overlapping_events.py
+++ b/src/nettledeal/standins/soak_overlapping_events.py
@@ -55,6 +55,7 @@
             operator.resend_newest,
             operator.race,
             operator.put_invalid,
+            operator.put_earlier_again,
             operator.read,
         ]
 
--- a/tests/system/test_operator_api_calls.py
+++ b/tests/system/test_operator_api_calls.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from nettledeal.control.state import ACCEPTED_PREFIX, Change
 from nettledeal.operator_api.api import OperatorApi
 from nettledeal.operator_api.messages import Request
 from tests.system.operator_api_support import MemoryNode, make_body, make_route
@@ -87,6 +88,24 @@
     assert get(api).body == make_body(8)
 
 
+def test_an_earlier_configuration_on_top_of_the_present_one_is_refused(api):
+    # Guards against a rollback that is acknowledged and never in force: orders were told apart by body alone.
+    put(api, make_body(7), 0)
+    put(api, make_body(8), 7)
+    assert put(api, make_body(7), 8).status is HTTPStatus.BAD_REQUEST
+    assert put(api, make_body(8), 8).status is HTTPStatus.BAD_REQUEST
+    assert put(api, make_body(8), 7).status is HTTPStatus.OK
+    assert get(api).body == make_body(8)
+
+
+def test_the_order_in_force_is_accepted_again_if_an_earlier_release_remembered_it(api, node):
+    put(api, make_body(7), 0)
+    accepted = [key for key in node.state.entries if key.startswith(ACCEPTED_PREFIX)]
+    node.state = node.state.after(node.state.sequence, tuple(Change(key, None) for key in accepted))
+    assert put(api, make_body(7), 0).status is HTTPStatus.OK
+    assert put(api, make_body(7), 7).status is HTTPStatus.BAD_REQUEST
+
+
 def test_the_same_number_for_different_changes(api):
     put(api, make_body(5), 0)
     mine, theirs = make_body(7, mood="mine"), make_body(7, mood="theirs")
