--- a/src/nettledeal/standins/soak.py
+++ b/src/nettledeal/standins/soak.py
@@ -32,6 +32,7 @@
 from nettledeal.standins.soak_observer import SoakObserver
 from nettledeal.standins.soak_operator import SoakOperator
 from nettledeal.standins.soak_overlapping_events import OverlappingEvents
+from nettledeal.standins.soak_parts import SoakParts
 from nettledeal.standins.soak_system import CUT_PROGRAM, Machine, SoakSystem
 
 KINDS = (BRIEF, QUESTION, CARD)
@@ -93,9 +94,9 @@
         actions = MachineActions(self.random, RECOVER_WITHIN_S)
         self.observer = SoakObserver(self.system, self.random, RECOVER_WITHIN_S)
         self.operator = SoakOperator(lambda: self.system.control_addresses, self._fork())
-        parts = (self.system, self.random, actions, self.observer, self.operator)
-        self.core_events = CoreEvents(*parts)
-        self.other_events = OverlappingEvents(*parts)
+        parts = SoakParts(self.system, self.random, actions, self.observer, self.operator)
+        self.core_events = CoreEvents(parts)
+        self.other_events = OverlappingEvents(parts)
         self.clients = [
             KeptClient(machine, parse_address(machine.settings.listen.frontend), kind, self._fork())
             for machine in self.system.edges
--- a/src/nettledeal/standins/soak_core_events.py
+++ b/src/nettledeal/standins/soak_core_events.py
@@ -4,36 +4,23 @@
 
 import shutil
 from collections.abc import Callable
-from random import Random
 
 import gevent
 
 from nettledeal.standins.layout import SEEDS
 from nettledeal.standins.partitions import Direction
-from nettledeal.standins.soak_actions import Event, MachineActions
-from nettledeal.standins.soak_observer import SoakObserver
-from nettledeal.standins.soak_operator import SoakOperator
-from nettledeal.standins.soak_system import Machine, SoakSystem, seed_addresses
+from nettledeal.standins.soak_actions import Event
+from nettledeal.standins.soak_parts import SoakEvents
+from nettledeal.standins.soak_system import Machine, seed_addresses
 
 # When all lose power: this soon after a change was acknowledged, or after it was sent.
 MAX_AFTER_ACKNOWLEDGEMENT_S = 0.02
 MAX_AFTER_SENDING_S = 0.4
 
 
-class CoreEvents:
+class CoreEvents(SoakEvents):
     """Of the core machines one at a time is lost, or all with their disks kept, as the tolerance allows."""
 
-    def __init__(
-        self,
-        system: SoakSystem,
-        random: Random,
-        actions: MachineActions,
-        observer: SoakObserver,
-        operator: SoakOperator,
-    ):
-        self._system, self._random = system, random
-        self._actions, self._observer, self._operator = actions, observer, operator
-
     def choices(self) -> list[Event]:
         """The events that take a core machine away."""
         return [
--- a/src/nettledeal/standins/soak_overlapping_events.py
+++ b/src/nettledeal/standins/soak_overlapping_events.py
@@ -2,31 +2,17 @@
 
 from __future__ import annotations
 
-from random import Random
-
 import gevent
 
 from nettledeal.standins.layout import Zone
-from nettledeal.standins.soak_actions import Event, MachineActions
-from nettledeal.standins.soak_observer import SoakObserver
-from nettledeal.standins.soak_operator import SoakOperator
-from nettledeal.standins.soak_system import Machine, SoakSystem
+from nettledeal.standins.soak_actions import Event
+from nettledeal.standins.soak_parts import SoakEvents
+from nettledeal.standins.soak_system import Machine
 
 
-class OverlappingEvents:
+class OverlappingEvents(SoakEvents):
     """Events of edge machines, relays, seeds and the operator."""
 
-    def __init__(
-        self,
-        system: SoakSystem,
-        random: Random,
-        actions: MachineActions,
-        observer: SoakObserver,
-        operator: SoakOperator,
-    ):
-        self._system, self._random = system, random
-        self._actions, self._observer, self._operator = actions, observer, operator
-
     def choices(self) -> list[Event]:
         """The events that take no core machine away, without those of the configuration."""
         return [
