--- a/tests/system/test_dataplane_client_disconnect.py
+++ b/tests/system/test_dataplane_client_disconnect.py
@@ -214,7 +214,7 @@
         with pytest.raises(AssertionError):
             test_a_client_disconnect_is_noticed(WAIT_STATES["the response head"], 1, "end")
     else:
-        monkeypatch.setattr("nettledeal.dataplane.ingress.peer_closed", lambda sock: False)
+        monkeypatch.setattr("nettledeal.dataplane.client_connection.peer_closed", lambda sock: False)
         with pytest.raises(AssertionError):
             test_a_client_that_disconnects_during_startup_is_not_served()
 
--- a/tests/system/test_dataplane_ingress.py
+++ b/tests/system/test_dataplane_ingress.py
@@ -5,7 +5,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from nettledeal.dataplane.ingress import (
+from nettledeal.dataplane.client_connection import (
     EXPECTED_START_S,
     MAX_START_S,
     MIN_STARTING_RETRY_S,
--- a/tests/system/test_early_listener.py
+++ b/tests/system/test_early_listener.py
@@ -8,7 +8,7 @@
 import pytest
 
 from nettledeal.dataplane.agent import DataPlane
-from nettledeal.dataplane.ingress import MAX_START_WAIT_S, START_WAIT_SHARE
+from nettledeal.dataplane.client_connection import MAX_START_WAIT_S, START_WAIT_SHARE
 from nettledeal.programs.commands.data_plane import frontend_listener
 from system.dataplane_rig import Client, FakeBackend, catalogue, entries, make_settings, running
 
