--- a/src/nettledeal/membership/joining.py
+++ b/src/nettledeal/membership/joining.py
@@ -14,9 +14,9 @@
 # After a member held dead turns out to be alive: this many extra exchanges, about this many protocol periods
 # apart, and no further extra ones within this share of the regular exchange interval.
 RETURN_EXCHANGES, RETURN_PERIODS, RETURN_QUIET_SHARE = 3, 4, 0.5
-# Two groups have met if a full view names so many unknown members, and this share of those known before: some
-# of these are told by an exchange of views, as gossip about that many would take long.
-MIN_MET, MET_SHARE, MET_EXCHANGES = 3, 0.25, 3
+# Two groups have met if a full view names so many unknown members, and this share of those known before: one
+# of these is told by an exchange of views, as gossip about that many would take long.
+MIN_MET, MET_SHARE = 3, 0.25
 # Longest delay between two attempts of a member that has not joined to contact seeds.
 MAX_JOIN_BACKOFF_TENTHS = SECOND
 # How often each member decides whom it contacts of those absent, in protocol periods.
@@ -91,12 +91,12 @@
             )
 
     def _tell_former_group(self, known_before: list[str]) -> None:
-        """Exchange views with some of those known before, if a full view has just named another group."""
+        """Exchange views with one of those known before, if a full view has just named another group."""
         met = len(self.ring) - len(known_before)
         if self.joined and known_before and met >= max(MIN_MET, MET_SHARE * len(known_before)):
             present = set(self.ring)
             former = [name for name in known_before if name in present]
-            self._exchange_views(self._sample(former, MET_EXCHANGES))
+            self._exchange_views(self._sample(former, 1))
 
     def _reconcile(self) -> None:
         # With a member of any zone: members of one zone were cut off together and miss the same updates.
